--- /dev/null
+++ b/src/monsoonpass/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/src/monsoonpass/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validation of everything that enters: settings, texts, frames, files."""
--- /dev/null
+++ b/src/monsoonpass/border/operator_models.py
@@ -0,0 +1,170 @@
+"""Models of the operator endpoint's JSON bodies."""
+
+from typing import Annotated
+
+import pydantic
+
+from monsoonpass.core import catalog
+from monsoonpass.core import survey
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class Announcement(_Model):
+    """What an upstream says of itself to its own node."""
+
+    service: Annotated[
+        str,
+        pydantic.StringConstraints(
+            pattern=r"^[a-z]([a-z0-9-]{0,61}[a-z0-9])?$"
+        ),
+    ]
+    slots: Annotated[int, pydantic.Field(ge=1, le=10000)]
+    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    cold: bool = False
+
+
+class SubmitResult(_Model):
+    """What became of a submission."""
+
+    status: str
+    version: int
+
+
+class RouteView(_Model):
+    """One route of the configuration in force."""
+
+    path: str
+    methods: list[str]
+    idempotent: bool
+    priority: str
+    deadline_s: float
+    size: str
+
+    @classmethod
+    def of(cls, route: catalog.Route) -> "RouteView":
+        """Make the view of a route."""
+        return cls(
+            path=route.path,
+            methods=list(route.methods),
+            idempotent=route.idempotent,
+            priority=route.priority.name.lower(),
+            deadline_s=route.deadline_s,
+            size="bulk" if route.bulk else "short",
+        )
+
+
+class ServiceView(_Model):
+    """One service of the configuration in force."""
+
+    depends_on: list[str]
+    routes: list[RouteView]
+
+
+class ConfigView(_Model):
+    """The configuration in force at the node asked."""
+
+    version: int
+    services: dict[str, ServiceView]
+
+    @classmethod
+    def of(cls, current: catalog.Catalog) -> "ConfigView":
+        """Make the view of a configuration."""
+        return cls(
+            version=current.version,
+            services={
+                name: ServiceView(
+                    depends_on=list(service.depends_on),
+                    routes=[RouteView.of(route) for route in service.routes],
+                )
+                for name, service in sorted(current.services.items())
+            },
+        )
+
+
+class CountView(_Model):
+    """How many nodes have a version in force."""
+
+    version: int
+    nodes: int
+
+
+class LaggardView(_Model):
+    """A node that lags; version -1 if it did not answer."""
+
+    instance: str
+    version: int
+    for_s: float
+
+
+class PlaceView(_Model):
+    """The versions in force in one data centre."""
+
+    data_centre: str
+    members: int
+    answered: int
+    counts: list[CountView]
+    laggards: list[LaggardView]
+
+
+class StatusView(_Model):
+    """The versions in force in the whole mesh."""
+
+    version: int
+    leader: str
+    voters: list[str]
+    places: list[PlaceView]
+    missing: list[str]
+
+    @classmethod
+    def of(cls, result: survey.Survey) -> "StatusView":
+        """Make the view of a survey."""
+        return cls(
+            version=result.version,
+            leader=result.leader,
+            voters=list(result.voters),
+            places=[_place(place) for place in result.places],
+            missing=list(result.missing),
+        )
+
+
+def _place(place: survey.Place) -> PlaceView:
+    return PlaceView(
+        data_centre=place.data_centre,
+        members=place.members,
+        answered=place.answered,
+        counts=[
+            CountView(version=c.version, nodes=c.nodes) for c in place.counts
+        ],
+        laggards=[
+            LaggardView(
+                instance=lag.instance, version=lag.version, for_s=lag.for_s
+            )
+            for lag in place.laggards
+        ],
+    )
+
+
+class MemberView(_Model):
+    """One member of the node's data centre."""
+
+    instance: str
+    state: str
+    service: str
+    slots: int
+    upstream: str
+
+
+class NodeView(_Model):
+    """One node's own state."""
+
+    instance: str
+    data_centre: str
+    region: str
+    version: int
+    ready: bool
+    stopping: bool
+    role: str
+    members: list[MemberView]
--- /dev/null
+++ b/src/monsoonpass/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's and the command-line tool's entry points."""
--- /dev/null
+++ b/src/monsoonpass/codec.py
@@ -0,0 +1,179 @@
+"""Encoding of typed messages as msgpack arrays.
+
+A message is a data class registered under a number. On the wire it is an
+array: the number, then the fields in order. Nested data classes are arrays of
+their fields. Decoding checks every field against its annotation.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import types
+import typing
+from typing import Any
+
+import msgpack
+import pydantic
+
+from monsoonpass import errors
+
+_tags: dict[type, int] = {}
+_types: dict[int, type] = {}
+
+
+def register(tag: int) -> Callable[[type], type]:
+    """Make a class decorator that registers a message type.
+
+    Args:
+        tag: The number that stands for the type on the wire. Never reused.
+
+    Returns:
+        The decorator.
+
+    Raises:
+        ValueError: The tag is taken.
+    """
+
+    def decorate(cls: type) -> type:
+        if tag in _types:
+            raise ValueError(f"tag {tag} is taken by {_types[tag].__name__}")
+        _tags[cls] = tag
+        _types[tag] = cls
+        return cls
+
+    return decorate
+
+
+def encode(message: Any) -> bytes:
+    """Encode a registered message.
+
+    Args:
+        message: An instance of a registered data class.
+
+    Returns:
+        The msgpack array.
+    """
+    cls = type(message)
+    return msgpack.packb([_tags[cls], *_pack_fields(cls)(message)])
+
+
+def decode(data: bytes) -> Any:
+    """Decode one message from its whole encoding.
+
+    Args:
+        data: A msgpack array made by `encode`.
+
+    Returns:
+        The message.
+
+    Raises:
+        BadFrameError: The bytes are not a valid message.
+        UnknownMessageError: The message number is not registered.
+    """
+    try:
+        value = msgpack.unpackb(
+            data, use_list=False, raw=False, strict_map_key=True
+        )
+    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+        raise errors.BadFrameError(str(error)) from error
+    if not isinstance(value, tuple) or not value:
+        raise errors.BadFrameError("a message is a non-empty array")
+    tag = value[0]
+    cls = _types.get(tag) if isinstance(tag, int) else None
+    if cls is None:
+        raise errors.UnknownMessageError(f"unknown message number {tag!r}")
+    return _validate(cls, value[1:])
+
+
+def digest_form(value: Any) -> bytes:
+    """Encode a data class canonically, without a message number.
+
+    Args:
+        value: An instance of a data class; it need not be registered.
+
+    Returns:
+        Bytes that are equal exactly when the values are equal.
+    """
+    return msgpack.packb(_pack_fields(type(value))(value))
+
+
+def _validate(cls: type, fields: tuple[Any, ...]) -> Any:
+    try:
+        return _adapter(cls).validate_python(_named(cls, fields))
+    except pydantic.ValidationError as error:
+        raise errors.BadFrameError(f"{cls.__name__}: {error}") from error
+
+
+@functools.cache
+def _adapter(cls: type) -> pydantic.TypeAdapter:
+    return pydantic.TypeAdapter(cls)
+
+
+@functools.cache
+def _pack_fields(cls: type) -> Callable[[Any], list[Any]]:
+    """Make a function that turns an instance into its list of fields."""
+    names = [field.name for field in dataclasses.fields(cls)]
+    nested = _nested_types(cls)
+    if not any(nested):
+        return lambda message: [getattr(message, name) for name in names]
+
+    def pack(message: Any) -> list[Any]:
+        return [_plain(getattr(message, name)) for name in names]
+
+    return pack
+
+
+def _plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value):
+        return _pack_fields(type(value))(value)
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+def _named(cls: type, fields: Any) -> dict[str, Any]:
+    """Name the positional fields, recursively, for validation."""
+    definitions = dataclasses.fields(cls)
+    if not isinstance(fields, tuple) or len(fields) > len(definitions):
+        raise errors.BadFrameError(f"{cls.__name__}: wrong number of fields")
+    named = {}
+    nested_types = _nested_types(cls)
+    for definition, nested, value in zip(
+        definitions, nested_types, fields, strict=False
+    ):
+        named[definition.name] = nested(value) if nested else value
+    return named
+
+
+@functools.cache
+def _nested_types(cls: type) -> list[Callable[[Any], Any] | None]:
+    hints = typing.get_type_hints(cls)
+    return [
+        _nested_reader(hints[field.name]) for field in dataclasses.fields(cls)
+    ]
+
+
+def _nested_reader(hint: Any) -> Callable[[Any], Any] | None:
+    """Make a reader for a field that holds data classes, or None."""
+    if isinstance(hint, type) and dataclasses.is_dataclass(hint):
+        return lambda value: _named(hint, value)
+    origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
+    if origin in (types.UnionType, typing.Union):
+        readers = [_nested_reader(argument) for argument in arguments]
+        reader = next((item for item in readers if item), None)
+        if reader is None:
+            return None
+        return lambda value: None if value is None else reader(value)
+    if origin is tuple and len(arguments) == 2 and arguments[1] is Ellipsis:
+        reader = _nested_reader(arguments[0])
+        if reader is None:
+            return None
+        return lambda value: _read_items(reader, value)
+    return None
+
+
+def _read_items(reader: Callable[[Any], Any], value: Any) -> Any:
+    if not isinstance(value, tuple):
+        raise errors.BadFrameError("expected an array")
+    return tuple(reader(item) for item in value)
--- /dev/null
+++ b/src/monsoonpass/core/address.py
@@ -0,0 +1,18 @@
+"""Addresses of nodes and names of their places."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """Where a node listens for its peers, over TCP and UDP.
+
+    Attributes:
+        instance: Name of the instance.
+        host: IP number.
+        port: Port, the same for TCP and UDP.
+    """
+
+    instance: str
+    host: str
+    port: int
--- /dev/null
+++ b/src/monsoonpass/core/admission.py
@@ -0,0 +1,350 @@
+"""Admission of calls to the own upstream: slots, classes and the queue.
+
+The node is the only way in to its upstream, so it counts the slots exactly.
+Work is short or long by the time its route has taken so far. Long work leaves
+room for the short work that is expected, so that a lookup never waits behind
+a photo. What cannot meet its deadline is refused at once.
+"""
+
+import bisect
+import dataclasses
+import math
+
+from monsoonpass.core import member as member_lib
+from monsoonpass.core import outcome
+
+SMOOTHING = 0.1
+LONG_FACTOR = 4.0
+DEFAULT_SERVICE_TIME_S = 0.01
+RATE_WINDOW_S = 0.5
+RESERVE_MARGIN = 1.5
+RETRY_AFTER_MIN_S = 0.05
+ROUTES_MAX = 4096
+SLOW_START_S = 5.0
+SLOW_START_SHARE = 0.25
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Work:
+    """One call that wants a slot.
+
+    Attributes:
+        work_id: The call's number at this node.
+        priority: Order of admission, lowest first.
+        deadline_s: When its answer must be complete.
+        bulk: Whether its route is declared bulk.
+        route: Name of the route, for the learned service time.
+        arrived_s: When it arrived.
+        dispatched_s: When it got a slot; infinite before.
+        is_long: Its class when it got a slot.
+    """
+
+    work_id: int
+    priority: int
+    deadline_s: float
+    bulk: bool
+    route: str
+    arrived_s: float
+    dispatched_s: float = math.inf
+    is_long: bool = False
+
+    @property
+    def order(self) -> tuple[int, float, int]:
+        """Place in the queue: priority, then earliest deadline."""
+        return (self.priority, self.deadline_s, self.work_id)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """Work that is refused and will never be dispatched."""
+
+    work: Work
+    failure: outcome.Failure
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Decision:
+    """What admission decided.
+
+    Attributes:
+        dispatch: Work that gets a slot now.
+        refused: Work that is refused now.
+    """
+
+    dispatch: list[Work] = dataclasses.field(default_factory=list)
+    refused: list[Refused] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RouteTimes:
+    """What was learned of a route's service time."""
+
+    mean_s: float
+    count: int = 0
+
+
+class Admission:
+    """Slots and queue of the own upstream.
+
+    Attributes:
+        service: Name of the service, or empty without an upstream.
+        slots: Calls that the upstream runs at once.
+        upstream: What the upstream announced.
+        in_progress: Calls that hold a slot, by work id.
+        queue_limit: Calls that may wait.
+    """
+
+    def __init__(self, *, queue_limit: int = 256):
+        self.service = ""
+        self.slots = 0
+        self.upstream = member_lib.UpstreamState.NONE
+        self.in_progress: dict[int, Work] = {}
+        self.queue_limit = queue_limit
+        self._queue: list[tuple[tuple[int, float, int], Work]] = []
+        self._routes: dict[str, RouteTimes] = {}
+        self._short_s = DEFAULT_SERVICE_TIME_S
+        self._mean_s = DEFAULT_SERVICE_TIME_S
+        self._short_rate = 0.0
+        self._short_seen = 0
+        self._window_start_s = 0.0
+        self._ready_s = -math.inf
+
+    @property
+    def queued(self) -> int:
+        """Number of calls that wait."""
+        return len(self._queue)
+
+    @property
+    def accepts(self) -> bool:
+        """Whether new work may be admitted at all."""
+        return self.upstream in (
+            member_lib.UpstreamState.READY,
+            member_lib.UpstreamState.STARTING,
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call runs or waits."""
+        return not self.in_progress and not self._queue
+
+    def load(self) -> outcome.Load:
+        """Return the load that answers carry to other nodes."""
+        return outcome.Load(
+            slots=self.slots,
+            in_progress=len(self.in_progress),
+            queued=len(self._queue),
+            service_time_s=self._mean_s,
+        )
+
+    def announce(
+        self, *, service: str, slots: int, cold: bool, now_s: float
+    ) -> None:
+        """Take the upstream's announcement."""
+        self.service = service
+        self.slots = slots
+        self.upstream = member_lib.UpstreamState.READY
+        self._ready_s = now_s if cold else -math.inf
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Return whether short work would be dispatched at once."""
+        return (
+            self.accepts
+            and not self._queue
+            and len(self.in_progress) < self._usable_slots(now_s)
+        )
+
+    def offer(self, work: Work, now_s: float) -> Decision:
+        """Dispatch, queue or refuse new work.
+
+        Args:
+            work: The work.
+            now_s: Time of the event.
+
+        Returns:
+            The decision; work named in neither list waits in the queue.
+        """
+        decision = Decision()
+        if not self.accepts:
+            reason = outcome.Reason.DRAINING
+            if self.upstream is member_lib.UpstreamState.NONE:
+                reason = outcome.Reason.NO_UPSTREAM
+            decision.refused.append(_refuse(work, reason, None))
+            return decision
+        self._count_arrival(work, now_s)
+        wait_s = self.expected_wait_s(work, now_s)
+        if now_s + wait_s + self._expected_s(work) > work.deadline_s:
+            decision.refused.append(
+                _refuse(work, outcome.Reason.OVERLOADED, wait_s)
+            )
+            return decision
+        bisect.insort(self._queue, (work.order, work))
+        self._fill_slots(decision, now_s)
+        if len(self._queue) > self.queue_limit:
+            _, worst = self._queue.pop()
+            decision.refused.append(
+                _refuse(worst, outcome.Reason.OVERLOADED, wait_s)
+            )
+        return decision
+
+    def finish(
+        self, work_id: int, *, service_time_s: float, ok: bool, now_s: float
+    ) -> Decision:
+        """Free a slot, learn the service time and dispatch what waits."""
+        decision = Decision()
+        work = self.in_progress.pop(work_id, None)
+        if work is not None and ok:
+            self._learn(work, service_time_s)
+        self._fill_slots(decision, now_s)
+        return decision
+
+    def withdraw(self, work_id: int) -> bool:
+        """Remove work that still waits.
+
+        Args:
+            work_id: The work.
+
+        Returns:
+            Whether it waited; if so it was not and will not be dispatched.
+        """
+        for position, (_, work) in enumerate(self._queue):
+            if work.work_id == work_id:
+                del self._queue[position]
+                return True
+        return False
+
+    def expire(self, now_s: float) -> Decision:
+        """Refuse waiting work that can no longer meet its deadline."""
+        decision = Decision()
+        self._drop_late(decision, now_s)
+        return decision
+
+    def refuse_all(self, reason: outcome.Reason) -> Decision:
+        """Refuse all work that waits."""
+        decision = Decision()
+        for _, work in self._queue:
+            decision.refused.append(_refuse(work, reason, None))
+        self._queue.clear()
+        return decision
+
+    def next_expiry_s(self) -> float:
+        """Return when the first waiting call becomes too late."""
+        return min(
+            (w.deadline_s - self._expected_s(w) for _, w in self._queue),
+            default=math.inf,
+        )
+
+    def expected_wait_s(self, work: Work, now_s: float) -> float:
+        """Estimate how long new work would wait for a slot."""
+        slots = max(self._usable_slots(now_s), 1)
+        ahead = bisect.bisect_left(
+            self._queue, work.order, key=lambda item: item[0]
+        )
+        free = slots - len(self.in_progress)
+        if free > ahead:
+            return 0.0
+        return (ahead - free + 1) * self._mean_s / slots
+
+    def is_long(self, work: Work) -> bool:
+        """Return whether work belongs to the long class."""
+        times = self._routes.get(work.route)
+        if times is None or times.count < 3:
+            return work.bulk
+        return times.mean_s > LONG_FACTOR * self._short_s
+
+    def _usable_slots(self, now_s: float) -> int:
+        """Return the slots in use; a cold upstream gets them step by step."""
+        age_s = now_s - self._ready_s
+        if age_s >= SLOW_START_S:
+            return self.slots
+        share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * (
+            age_s / SLOW_START_S
+        )
+        return max(1, int(self.slots * share))
+
+    def _reserved_for_short(self) -> int:
+        """Return the slots that long work leaves free (Little's law)."""
+        expected = self._short_rate * self._short_s * RESERVE_MARGIN
+        return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
+
+    def _fill_slots(self, decision: Decision, now_s: float) -> None:
+        self._drop_late(decision, now_s)
+        usable = self._usable_slots(now_s)
+        long_room = usable - self._reserved_for_short()
+        long_room -= sum(
+            self._holds_long(w, now_s) for w in (self.in_progress.values())
+        )
+        position = 0
+        while position < len(self._queue) and len(self.in_progress) < usable:
+            work = self._queue[position][1]
+            work.is_long = self.is_long(work)
+            if work.is_long and long_room <= 0 and self.slots > 1:
+                position += 1
+                continue
+            del self._queue[position]
+            long_room -= work.is_long
+            work.dispatched_s = now_s
+            self.in_progress[work.work_id] = work
+            decision.dispatch.append(work)
+
+    def _holds_long(self, work: Work, now_s: float) -> bool:
+        """Return whether running work counts as long.
+
+        A call of a short route that straggles counts too.
+        """
+        limit_s = LONG_FACTOR * max(self._short_s, self._expected_s(work))
+        return work.is_long or now_s - work.dispatched_s > limit_s
+
+    def _drop_late(self, decision: Decision, now_s: float) -> None:
+        kept = []
+        for item in self._queue:
+            work = item[1]
+            if now_s + self._expected_s(work) > work.deadline_s:
+                decision.refused.append(
+                    _refuse(work, outcome.Reason.DEADLINE, self._mean_s)
+                )
+            else:
+                kept.append(item)
+        self._queue = kept
+
+    def _expected_s(self, work: Work) -> float:
+        times = self._routes.get(work.route)
+        return times.mean_s if times else 0.0
+
+    def _learn(self, work: Work, service_time_s: float) -> None:
+        times = self._routes.get(work.route)
+        if times is None:
+            if len(self._routes) >= ROUTES_MAX:
+                self._routes.pop(next(iter(self._routes)))
+            times = RouteTimes(mean_s=service_time_s)
+            self._routes[work.route] = times
+        times.count += 1
+        # A straggler must not make its whole route look long.
+        sample_s = min(service_time_s, 3.0 * times.mean_s)
+        times.mean_s += SMOOTHING * (sample_s - times.mean_s)
+        self._mean_s += SMOOTHING * (service_time_s - self._mean_s)
+        if not work.is_long:
+            self._short_s += SMOOTHING * (sample_s - self._short_s)
+
+    def _count_arrival(self, work: Work, now_s: float) -> None:
+        elapsed_s = now_s - self._window_start_s
+        if elapsed_s >= RATE_WINDOW_S:
+            rate = self._short_seen / elapsed_s
+            self._short_rate += 0.5 * (rate - self._short_rate)
+            self._short_seen = 0
+            self._window_start_s = now_s
+        if not self.is_long(work):
+            self._short_seen += 1
+
+
+def _refuse(
+    work: Work, reason: outcome.Reason, wait_s: float | None
+) -> Refused:
+    retry_after_s = None
+    if wait_s is not None:
+        retry_after_s = max(wait_s, RETRY_AFTER_MIN_S)
+    failure = outcome.Failure(
+        outcome=outcome.Outcome.NOT_RUN,
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
+    return Refused(work=work, failure=failure)
--- /dev/null
+++ b/src/monsoonpass/core/directory.py
@@ -0,0 +1,303 @@
+"""What a data centre knows of the others.
+
+Few relays per data centre exchange contacts and versions with a relay of each
+other one. A node holds endpoints of other data centres only for the services
+that its calls want, and gets them through a relay of its own data centre, so
+that one query per service and interval crosses a link.
+"""
+
+import dataclasses
+
+from monsoonpass import codec
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import calls
+from monsoonpass.core import distribution
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import member as member_lib
+from monsoonpass.core import member_table
+from monsoonpass.core import node
+from monsoonpass.core import routing
+from monsoonpass.core import step
+
+RELAYS = 2
+EXCHANGE_S = 2.0
+ENDPOINTS_FRESH_S = 2.0
+WANTED_S = 30.0
+ENDPOINTS_MAX = 64
+CONTACTS_MAX = 5
+SERVICES_MAX = 512
+SMOOTHING = 0.2
+
+
+@codec.register(80)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Greeting:
+    """Tells another data centre of this one.
+
+    Attributes:
+        data_centre: The sender's data centre.
+        region: Its region.
+        contacts: Nodes to speak to there.
+        version: Version in force at the sender.
+        sent_s: The asker's clock; copied into the answer.
+        wants_reply: Whether this asks for an answer.
+    """
+
+    data_centre: str
+    region: str
+    contacts: tuple[address_lib.Address, ...]
+    version: int
+    sent_s: float
+    wants_reply: bool
+
+
+@codec.register(81)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointQuery:
+    """Asks for the endpoints of a service.
+
+    Attributes:
+        service: The service.
+        across: Whether the asker is in another data centre.
+    """
+
+    service: str
+    across: bool
+
+
+@codec.register(82)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointReply:
+    """Carries the endpoints of a service in one data centre."""
+
+    service: str
+    data_centre: str
+    members: tuple[member_lib.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Endpoints:
+    """Endpoints of a service in one data centre, as last told."""
+
+    members: tuple[member_lib.Member, ...]
+    told_s: float
+
+
+def start(state: node.Node, event: events.Started) -> list[effects.Effect]:
+    """Take the contacts of other data centres from the seeds."""
+    directory = state.directory
+    own = state.settings.data_centre
+    for seed in state.settings.seeds:
+        directory.regions[seed.data_centre] = seed.region
+        if seed.data_centre == own:
+            continue
+        known = directory.contacts.get(seed.data_centre, ())
+        directory.contacts[seed.data_centre] = (*known, seed.address)
+    if not directory.contacts:
+        return []
+    random = entropy_lib.Entropy(bits=event.entropy)
+    delay_s = random.uniform(0.05, 0.3)
+    return [effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)]
+
+
+def relays(state: node.Node, salt: str) -> list[address_lib.Address]:
+    """Return the relays of the own data centre for a subject."""
+    members = state.membership.table.alive()
+    members.sort(key=lambda m: member_table.rank(m.instance, salt))
+    return [m.address for m in members[:RELAYS]]
+
+
+def is_relay(state: node.Node, salt: str) -> bool:
+    """Return whether this node is one of the relays for a subject."""
+    own = state.settings.address.instance
+    return any(relay.instance == own for relay in relays(state, salt))
+
+
+def want(
+    state: node.Node, event: events.Event, service: str
+) -> list[effects.Effect]:
+    """Keep the remote endpoints of a service that calls use fresh."""
+    directory = state.directory
+    if not directory.contacts:
+        return []
+    if len(directory.wanted_s) >= SERVICES_MAX:
+        directory.wanted_s.pop(next(iter(directory.wanted_s)))
+    directory.wanted_s[service] = event.now_s
+    asked_s = directory.asked_s.get(service, float("-inf"))
+    if event.now_s - asked_s < ENDPOINTS_FRESH_S:
+        return []
+    return ask(state, event, service)
+
+
+def ask(
+    state: node.Node, event: events.Event, service: str
+) -> list[effects.Effect]:
+    """Ask a relay, or as a relay the other data centres, for endpoints."""
+    directory = state.directory
+    asked_s = directory.asked_s.get(service, float("-inf"))
+    if event.now_s - asked_s < 0.1:
+        return []
+    directory.asked_s[service] = event.now_s
+    salt = f"relay/{service}"
+    own = state.settings.address.instance
+    others = [r for r in relays(state, salt) if r.instance != own]
+    if not is_relay(state, salt) and others:
+        query = EndpointQuery(service=service, across=False)
+        return [effects.Send(to=others[0], message=query)]
+    return _ask_across(state, event, service)
+
+
+@step.expire.register
+def _(
+    timer: events.Exchange, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    random = entropy_lib.Entropy(bits=event.entropy)
+    delay_s = random.uniform(0.75 * EXCHANGE_S, 1.25 * EXCHANGE_S)
+    result: list[effects.Effect] = [
+        effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)
+    ]
+    _forget_unwanted(state, event.now_s)
+    if not is_relay(state, "relay") and state.control.replica is None:
+        return result
+    greeting = _greeting(state, event.now_s, wants_reply=True)
+    for data_centre in sorted(state.directory.contacts):
+        to = _contact(state, data_centre, random)
+        result.append(effects.Send(to=to, message=greeting))
+    return result
+
+
+@step.receive.register
+def _(
+    message: Greeting, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    directory = state.directory
+    result: list[effects.Effect] = []
+    if message.data_centre != state.settings.data_centre:
+        directory.regions[message.data_centre] = message.region
+        directory.heard_s[message.data_centre] = event.now_s
+        if message.contacts:
+            contacts = message.contacts[:CONTACTS_MAX]
+            directory.contacts[message.data_centre] = contacts
+        if not message.wants_reply:
+            _learn_rtt(state, message.data_centre, event.now_s - message.sent_s)
+    if message.wants_reply:
+        reply = _greeting(state, message.sent_s, wants_reply=False)
+        result.append(effects.Send(to=event.sender, message=reply))
+    return result + distribution.heard_version(state, event, message.version)
+
+
+@step.receive.register
+def _(
+    message: EndpointQuery, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    directory = state.directory
+    if message.across:
+        reply = EndpointReply(
+            service=message.service,
+            data_centre=state.settings.data_centre,
+            members=_serving(state, event, message.service),
+        )
+        return [effects.Send(to=event.sender, message=reply)]
+    result: list[effects.Effect] = []
+    known = directory.endpoints.get(message.service, {})
+    for data_centre, endpoints in sorted(known.items()):
+        reply = EndpointReply(
+            service=message.service,
+            data_centre=data_centre,
+            members=endpoints.members,
+        )
+        result.append(effects.Send(to=event.sender, message=reply))
+    waiting = state.directory.askers.setdefault(message.service, {})
+    if len(waiting) < CONTACTS_MAX * ENDPOINTS_MAX:
+        waiting[event.sender.instance] = event.sender
+    return result + want(state, event, message.service)
+
+
+@step.receive.register
+def _(
+    message: EndpointReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    directory = state.directory
+    places = directory.endpoints.setdefault(message.service, {})
+    places[message.data_centre] = Endpoints(
+        members=message.members, told_s=event.now_s
+    )
+    result: list[effects.Effect] = [
+        effects.Send(to=asker, message=message)
+        for asker in directory.askers.get(message.service, {}).values()
+        if asker.instance != event.sender.instance
+    ]
+    if len(places) >= len(directory.contacts):
+        directory.askers.pop(message.service, None)
+    if message.members or len(places) >= len(directory.contacts):
+        result += calls.unparked(state, event, message.service)
+    return result
+
+
+def _ask_across(
+    state: node.Node, event: events.Event, service: str
+) -> list[effects.Effect]:
+    random = entropy_lib.Entropy(bits=event.entropy)
+    query = EndpointQuery(service=service, across=True)
+    return [
+        effects.Send(to=_contact(state, data_centre, random), message=query)
+        for data_centre in sorted(state.directory.contacts)
+    ]
+
+
+def _contact(
+    state: node.Node, data_centre: str, random: entropy_lib.Entropy
+) -> address_lib.Address:
+    """Return a contact; now and then a seed, in case contacts are gone."""
+    seeds = [
+        seed.address
+        for seed in state.settings.seeds
+        if seed.data_centre == data_centre
+    ]
+    contacts = state.directory.contacts[data_centre]
+    if seeds and random.below(4) == 0:
+        return random.choice(seeds)
+    return random.choice(contacts)
+
+
+def _greeting(
+    state: node.Node, sent_s: float, *, wants_reply: bool
+) -> Greeting:
+    return Greeting(
+        data_centre=state.settings.data_centre,
+        region=state.settings.region,
+        contacts=tuple(relays(state, "relay")),
+        version=state.config.version,
+        sent_s=sent_s,
+        wants_reply=wants_reply,
+    )
+
+
+def _learn_rtt(state: node.Node, data_centre: str, rtt_s: float) -> None:
+    known = state.directory.rtt_s.get(data_centre)
+    if known is None:
+        state.directory.rtt_s[data_centre] = rtt_s
+        return
+    state.directory.rtt_s[data_centre] = known + SMOOTHING * (rtt_s - known)
+
+
+def _serving(
+    state: node.Node, event: events.Event, service: str
+) -> tuple[member_lib.Member, ...]:
+    group = state.membership.table.by_service.get(service, {})
+    serving = [m for m in group.values() if routing.serves(m)]
+    random = entropy_lib.Entropy(bits=event.entropy)
+    return tuple(random.sample(serving, ENDPOINTS_MAX))
+
+
+def _forget_unwanted(state: node.Node, now_s: float) -> None:
+    """Drop the endpoints of services that no call wanted for a while."""
+    directory = state.directory
+    for service, wanted_s in list(directory.wanted_s.items()):
+        if now_s - wanted_s > WANTED_S:
+            del directory.wanted_s[service]
+            directory.endpoints.pop(service, None)
+            directory.asked_s.pop(service, None)
+            directory.askers.pop(service, None)
--- /dev/null
+++ b/src/monsoonpass/core/distribution.py
@@ -0,0 +1,479 @@
+"""Distribution of accepted versions to every node.
+
+A version reaches each data centre once, at an entry node, and spreads from
+there along a tree over the data centre's members. Probes carry versions, so a
+node that the tree missed notices within a probe period and fetches what it
+lacks from the peer that probed it. A node that starts without a memory serves
+nothing until a quorum has told it the last accepted version.
+"""
+
+import dataclasses
+
+from monsoonpass import codec
+from monsoonpass import errors
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import config_messages as messages
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import member_table
+from monsoonpass.core import node
+from monsoonpass.core import step
+from monsoonpass.core import submission
+
+FAN_OUT = 8
+HISTORY_MAX = 256
+FETCH_TIMEOUT_S = 1.0
+PUSH_RETRY_S = 0.4
+PUSH_ATTEMPTS_MAX = 10
+COLD_RETRY_S = 0.5
+HINT_INTERVAL_S = 0.1
+COLD_RETRY_MAX_S = 4.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingPush:
+    """A version that a data centre has not acknowledged.
+
+    Attributes:
+        delta: The newest change to push.
+        attempts: How often it was sent.
+        to: Instance that it was sent to last.
+    """
+
+    delta: catalog_lib.Delta
+    attempts: int
+    to: str
+
+
+def start(state: node.Node, event: events.Started) -> list[effects.Effect]:
+    """Recover the version in force and ask the quorum for the newest one."""
+    catalog = catalog_lib.EMPTY
+    for record in event.journal:
+        if isinstance(record, messages.InForceRecord):
+            catalog = catalog_lib.from_snapshot(record.snapshot)
+        elif isinstance(record, messages.InForceDelta):
+            catalog = catalog.apply(record.delta)
+    state.config.catalog = catalog
+    state.config.ready = catalog.version > 0
+    state.config.in_force_since_s = event.now_s
+    return _cold_read(state, event)
+
+
+def checkpoint(state: node.Node) -> list[messages.InForceRecord]:
+    """Return the records that keep the version in force."""
+    if not state.config.version:
+        return []
+    return [messages.InForceRecord(snapshot=state.config.catalog.snapshot())]
+
+
+def accepted(
+    state: node.Node, event: events.Event, delta: catalog_lib.Delta
+) -> list[effects.Effect]:
+    """Bring a version that the group accepted into force on a replica.
+
+    The leader also pushes it to every data centre.
+    """
+    if delta.version <= state.config.version:
+        return []
+    result: list[effects.Effect] = []
+    if delta.base_version == state.config.version:
+        result += _apply(state, event, delta)
+    else:
+        catalog = state.control.machine.catalog
+        if catalog.version > state.config.version:
+            result += _bring_into_force(state, event, catalog, None)
+    replica = state.control.replica
+    if replica is not None and replica.is_leader:
+        for data_centre in _data_centres(state):
+            result += _push_to(state, event, data_centre, delta, attempts=0)
+    return result
+
+
+def restored(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Bring the version of a restored state machine into force."""
+    catalog = state.control.machine.catalog
+    if catalog.version <= state.config.version:
+        return []
+    return _bring_into_force(state, event, catalog, None)
+
+
+def heard_version(
+    state: node.Node, event: events.PeerMessage, version: int
+) -> list[effects.Effect]:
+    """Fetch from a peer that has a newer version, one fetch at a time."""
+    config = state.config
+    if version <= config.version or not config.ready:
+        return []
+    if config.fetching and config.fetch_version >= version:
+        return []
+    return _fetch(state, event.sender, version)
+
+
+@step.receive.register
+def _(
+    message: messages.Push, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    """Apply a pushed version and pass it on to this node's children."""
+    config = state.config
+    delta = message.delta
+    own = state.settings.address.instance
+    result: list[effects.Effect] = []
+    if message.root == own:
+        ack = messages.PushAck(
+            data_centre=state.settings.data_centre, version=delta.version
+        )
+        result.append(effects.Send(to=event.sender, message=ack))
+    if delta.version <= config.version:
+        return result
+    for child in children(state, message.root, delta.version):
+        result.append(effects.Send(to=child, message=message))
+    if not config.ready:
+        return result
+    if (delta.base_version, delta.base_digest) == (
+        config.catalog.version,
+        config.catalog.digest,
+    ):
+        return result + _apply(state, event, delta)
+    return result + heard_version(state, event, delta.version)
+
+
+@step.receive.register
+def _(
+    message: messages.PushAck, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    pending = state.config.pushes.get(message.data_centre)
+    if pending is None or message.version < pending.delta.version:
+        return []
+    del state.config.pushes[message.data_centre]
+    timer = events.PushRetry(data_centre=message.data_centre)
+    return [effects.CancelTimer(timer=timer)]
+
+
+@step.expire.register
+def _(
+    timer: events.PushRetry, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    pending = state.config.pushes.pop(timer.data_centre, None)
+    replica = state.control.replica
+    if pending is None or replica is None or not replica.is_leader:
+        return []
+    if pending.attempts >= PUSH_ATTEMPTS_MAX:
+        return []
+    return _push_to(
+        state,
+        event,
+        timer.data_centre,
+        pending.delta,
+        attempts=pending.attempts,
+        avoid=pending.to,
+    )
+
+
+@step.receive.register
+def _(
+    message: messages.Fetch, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    reply = _newer_than(state.config, message)
+    return [effects.Send(to=event.sender, message=reply)]
+
+
+@step.receive.register
+def _(
+    message: messages.FetchReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    config = state.config
+    if config.fetching == event.sender.instance:
+        config.fetching = ""
+    result: list[effects.Effect] = []
+    if not config.ready and message.version < config.fetch_version:
+        # The quorum's version is newer than what this peer has.
+        return result
+    try:
+        if message.snapshot is not None:
+            result += _take_snapshot(state, event, message.snapshot)
+        for delta in message.deltas:
+            if delta.base_version == config.version:
+                result += _apply(state, event, delta)
+    except errors.CatalogError as error:
+        result.append(_rejected(event, error))
+    return result
+
+
+@step.expire.register
+def _(
+    timer: events.FetchRetry, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    state.config.fetching = ""
+    return []
+
+
+@step.receive.register
+def _(
+    message: messages.ColdReadReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    config = state.config
+    if message.voters:
+        state.control.voters = message.voters
+    state.control.leader = message.leader or state.control.leader
+    if not message.confirmed:
+        return _follow_hint(state, event, message.leader)
+    result = submission.leader_confirmed(state, event)
+    if message.version <= config.version:
+        config.ready = True
+    if config.ready:
+        result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
+    if message.version > config.version:
+        result += _fetch(state, event.sender, message.version)
+    return result
+
+
+@step.expire.register
+def _(
+    timer: events.ColdStartRetry, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return _cold_read(state, event)
+
+
+def children(
+    state: node.Node, root: str, version: int
+) -> list[address_lib.Address]:
+    """Return the nodes that this node passes a version on to.
+
+    The members stand in an order that depends on the version, the root
+    first; each passes on to the next `FAN_OUT` of a complete tree.
+
+    Args:
+        state: The node.
+        root: Instance at which the tree begins.
+        version: The version that is spread.
+
+    Returns:
+        Addresses, at most `FAN_OUT`.
+    """
+    own = state.settings.address.instance
+    salt = f"push/{version}"
+    members = state.membership.table.alive()
+    ordered = sorted(
+        (m for m in members if m.instance != root),
+        key=lambda m: member_table.rank(m.instance, salt),
+    )
+    if own == root:
+        position = 0
+    else:
+        names = [m.instance for m in ordered]
+        if own not in names:
+            return []
+        position = names.index(own) + 1
+    first = position * FAN_OUT
+    return [m.address for m in ordered[first : first + FAN_OUT]]
+
+
+def _apply(
+    state: node.Node, event: events.Event, delta: catalog_lib.Delta
+) -> list[effects.Effect]:
+    try:
+        catalog = state.config.catalog.apply(delta)
+    except errors.CatalogError as error:
+        return [_rejected(event, error)]
+    return _bring_into_force(state, event, catalog, delta)
+
+
+def _take_snapshot(
+    state: node.Node, event: events.Event, snapshot: catalog_lib.Snapshot
+) -> list[effects.Effect]:
+    if snapshot.version <= state.config.version:
+        return []
+    catalog = catalog_lib.from_snapshot(snapshot)
+    return _bring_into_force(state, event, catalog, None)
+
+
+def _bring_into_force(
+    state: node.Node,
+    event: events.Event,
+    catalog: catalog_lib.Catalog,
+    delta: catalog_lib.Delta | None,
+) -> list[effects.Effect]:
+    """Replace the configuration in force, never by an older one."""
+    config = state.config
+    if catalog.version <= config.version:
+        return []
+    config.catalog = catalog
+    config.in_force_since_s = event.now_s
+    config.ready = True
+    config.fetching = ""
+    if delta is None:
+        config.history.clear()
+    else:
+        config.history.append(delta)
+        if len(config.history) > HISTORY_MAX:
+            config.history.popleft()
+    log = effects.Log(
+        code=logbook.Code.VERSION_IN_FORCE, fields={"version": catalog.version}
+    )
+    return [*_persist(state, catalog, delta), log]
+
+
+def _persist(
+    state: node.Node,
+    catalog: catalog_lib.Catalog,
+    delta: catalog_lib.Delta | None,
+) -> list[effects.Effect]:
+    if not state.settings.has_disk or state.disk_failed:
+        return []
+    record: messages.InForceRecord | messages.InForceDelta
+    if delta is None:
+        record = messages.InForceRecord(snapshot=catalog.snapshot())
+    else:
+        record = messages.InForceDelta(delta=delta)
+    return [state.disk.write([record])]
+
+
+def _newer_than(
+    config: node.Config, request: messages.Fetch
+) -> messages.FetchReply:
+    """Return what a peer lacks, in the form that has fewer bytes."""
+    if request.version >= config.version:
+        return messages.FetchReply(
+            version=config.version, deltas=(), snapshot=None
+        )
+    snapshot = config.catalog.snapshot()
+    chain = _chain_from(config, request)
+    if chain and _size(chain) < len(codec.digest_form(snapshot)):
+        return messages.FetchReply(
+            version=config.version, deltas=chain, snapshot=None
+        )
+    return messages.FetchReply(
+        version=config.version, deltas=(), snapshot=snapshot
+    )
+
+
+def _chain_from(
+    config: node.Config, request: messages.Fetch
+) -> tuple[catalog_lib.Delta, ...]:
+    """Return the deltas from exactly the peer's content, or none."""
+    history = list(config.history)
+    for position, delta in enumerate(history):
+        base = (delta.base_version, delta.base_digest)
+        if base == (request.version, request.digest):
+            return tuple(history[position:])
+    return ()
+
+
+def _size(chain: tuple[catalog_lib.Delta, ...]) -> int:
+    return sum(len(codec.digest_form(delta)) for delta in chain)
+
+
+def _fetch(
+    state: node.Node, to: address_lib.Address, version: int
+) -> list[effects.Effect]:
+    config = state.config
+    config.fetching = to.instance
+    config.fetch_version = max(version, config.fetch_version)
+    fetch = messages.Fetch(version=config.version, digest=config.catalog.digest)
+    return [
+        effects.Send(to=to, message=fetch),
+        effects.SetTimer(timer=events.FetchRetry(), delay_s=FETCH_TIMEOUT_S),
+    ]
+
+
+def _follow_hint(
+    state: node.Node,
+    event: events.PeerMessage,
+    leader: address_lib.Address | None,
+) -> list[effects.Effect]:
+    """Ask the leader that a voter named, unless that was just done."""
+    control = state.control
+    if leader is None or leader.instance == event.sender.instance:
+        return []
+    if leader.instance == state.settings.address.instance:
+        return []
+    if event.now_s - control.hint_followed_s < HINT_INTERVAL_S:
+        return []
+    control.hint_followed_s = event.now_s
+    return [effects.Send(to=leader, message=messages.ColdRead())]
+
+
+def _data_centres(state: node.Node) -> list[str]:
+    return [state.settings.data_centre, *sorted(state.directory.contacts)]
+
+
+def _push_to(
+    state: node.Node,
+    event: events.Event,
+    data_centre: str,
+    delta: catalog_lib.Delta,
+    *,
+    attempts: int,
+    avoid: str = "",
+) -> list[effects.Effect]:
+    """Send a version to a data centre's entry node."""
+    if data_centre == state.settings.data_centre:
+        root = state.settings.address.instance
+        push = messages.Push(delta=delta, root=root)
+        return [
+            effects.Send(to=child, message=push)
+            for child in children(state, root, delta.version)
+        ]
+    contacts = state.directory.contacts.get(data_centre, ())
+    usable = [c for c in contacts if c.instance != avoid] or list(contacts)
+    if not usable:
+        return []
+    to = entropy_lib.Entropy(bits=event.entropy).choice(usable)
+    state.config.pushes[data_centre] = PendingPush(
+        delta=delta, attempts=attempts + 1, to=to.instance
+    )
+    push = messages.Push(delta=delta, root=to.instance)
+    return [
+        effects.Send(to=to, message=push),
+        effects.SetTimer(
+            timer=events.PushRetry(data_centre=data_centre),
+            delay_s=PUSH_RETRY_S,
+        ),
+    ]
+
+
+def _cold_read(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Ask a voter for the last accepted version, with full jitter."""
+    config = state.config
+    config.cold_attempts += 1
+    ceiling_s = min(
+        COLD_RETRY_S * 2 ** min(config.cold_attempts, 4), COLD_RETRY_MAX_S
+    )
+    random = entropy_lib.Entropy(bits=event.entropy)
+    retry = effects.SetTimer(
+        timer=events.ColdStartRetry(),
+        delay_s=random.uniform(0.5 * COLD_RETRY_S, ceiling_s),
+    )
+    own = state.settings.address
+    replica = state.control.replica
+    if replica is not None and replica.is_ready_leader:
+        return [effects.Send(to=own, message=messages.ColdRead()), retry]
+    voters = [v for v in known_voters(state) if v.instance != own.instance]
+    if not voters:
+        return [retry]
+    to = random.choice(voters)
+    return [effects.Send(to=to, message=messages.ColdRead()), retry]
+
+
+def known_voters(state: node.Node) -> tuple[address_lib.Address, ...]:
+    """Return where the voters are: as last told, else from the settings."""
+    replica = state.control.replica
+    if replica is not None and replica.members.voters:
+        return tuple(m.address for m in replica.members.members if m.voter)
+    if state.control.voters:
+        return state.control.voters
+    names = state.settings.bootstrap_voters
+    return tuple(
+        seed.address
+        for seed in state.settings.seeds
+        if seed.address.instance in names
+    )
+
+
+def _rejected(event: events.Event, error: errors.CatalogError) -> effects.Log:
+    return effects.Log(
+        code=logbook.Code.CONFIGURATION_REJECTED, fields={"error": str(error)}
+    )
--- /dev/null
+++ b/src/monsoonpass/core/election.py
@@ -0,0 +1,168 @@
+"""The rules of elections: pre-votes, votes and their timer."""
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import effects
+from monsoonpass.core import group
+from monsoonpass.core import replica as replica_lib
+from monsoonpass.core import replication
+
+
+def start(
+    replica: replica_lib.Replica, *, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    """Start a replica after its records were recovered.
+
+    A restarted replica may have promised its vote to a leader just before,
+    so it first waits as if it had heard from one.
+
+    Args:
+        replica: The replica; its term, vote and log are set.
+        now_s: Time of the event.
+        entropy: Random bits.
+
+    Returns:
+        Effects, among them the first election timer.
+    """
+    replica.leader_heard_s = now_s
+    if replica.members.voters == (replica.replica_id,):
+        return _campaign(replica, pre=False, now_s=now_s, entropy=entropy)
+    return [group.election_timer(entropy)]
+
+
+def timeout(
+    replica: replica_lib.Replica, *, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    """Start an election unless the leader was heard from."""
+    if replica.failed or replica.is_leader:
+        return []
+    quiet_s = now_s - replica.leader_heard_s
+    if not replica.is_voter or quiet_s < replica_lib.ELECTION_MIN_S:
+        return [group.election_timer(entropy, min(quiet_s, 0.5))]
+    return _campaign(replica, pre=True, now_s=now_s, entropy=entropy)
+
+
+def synced(
+    replica: replica_lib.Replica, *, sequence: int, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    """Count the candidate's vote for itself once it is durable."""
+    is_candidate = replica.role is replica_lib.Role.CANDIDATE
+    if not is_candidate or sequence < replica.vote_sequence:
+        return []
+    replica.votes.add(replica.replica_id)
+    return _count_votes(replica, pre=False, now_s=now_s, entropy=entropy)
+
+
+@group.receive.register
+def _(
+    message: records.VoteRequest,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    quiet_s = now_s - replica.leader_heard_s
+    if replica.is_leader or quiet_s < replica_lib.ELECTION_MIN_S:
+        return []
+    up_to_date = (message.last_term, message.last_index) >= (
+        replica.log.last_term,
+        replica.log.last_index,
+    )
+    if message.pre:
+        granted = up_to_date and message.term > replica.term
+        return [_reply(replica, sender, granted=granted, pre=True)]
+    result: list[effects.Effect] = []
+    if message.term > replica.term:
+        result += group.become_follower(replica, message.term, entropy)
+    may_vote = replica.voted_for in (0, message.candidate)
+    if message.term != replica.term or not may_vote or not up_to_date:
+        return [*result, _reply(replica, sender, granted=False, pre=False)]
+    replica.voted_for = message.candidate
+    replica.leader_heard_s = now_s
+    result.append(replica.write_hard_state())
+    reply = _reply(replica, sender, granted=True, pre=False)
+    return result + replica.disk.after_sync([reply])
+
+
+@group.receive.register
+def _(
+    message: records.VoteReply,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    if message.term > replica.term and not (message.pre and message.granted):
+        return group.become_follower(replica, message.term, entropy)
+    if not message.granted:
+        return []
+    if message.pre and replica.role is not replica_lib.Role.PRE_CANDIDATE:
+        return []
+    if not message.pre and (
+        replica.role is not replica_lib.Role.CANDIDATE
+        or message.term != replica.term
+    ):
+        return []
+    replica.votes.add(message.voter)
+    return _count_votes(replica, pre=message.pre, now_s=now_s, entropy=entropy)
+
+
+def _campaign(
+    replica: replica_lib.Replica, *, pre: bool, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    """Ask for pre-votes, or begin a new term and ask for votes."""
+    result: list[effects.Effect] = [group.election_timer(entropy)]
+    replica.leader_id = 0
+    replica.votes = set()
+    if pre:
+        replica.role = replica_lib.Role.PRE_CANDIDATE
+        replica.votes.add(replica.replica_id)
+    else:
+        replica.role = replica_lib.Role.CANDIDATE
+        replica.term += 1
+        replica.voted_for = replica.replica_id
+        write = replica.write_hard_state()
+        replica.vote_sequence = write.sequence
+        result.append(write)
+    request = records.VoteRequest(
+        group=replica.identity.group,
+        term=replica.term + 1 if pre else replica.term,
+        candidate=replica.replica_id,
+        last_index=replica.log.last_index,
+        last_term=replica.log.last_term,
+        pre=pre,
+    )
+    for member in replica.others:
+        if member.voter:
+            result.append(effects.Send(to=member.address, message=request))
+    if pre:
+        result += _count_votes(replica, pre=True, now_s=now_s, entropy=entropy)
+    return result
+
+
+def _count_votes(
+    replica: replica_lib.Replica, *, pre: bool, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    counted = replica.votes & set(replica.members.voters)
+    if len(counted) < replica.members.quorum:
+        return []
+    if pre:
+        return _campaign(replica, pre=False, now_s=now_s, entropy=entropy)
+    return replication.become_leader(replica, now_s)
+
+
+def _reply(
+    replica: replica_lib.Replica,
+    to: address_lib.Address,
+    *,
+    granted: bool,
+    pre: bool,
+) -> effects.Send:
+    reply = records.VoteReply(
+        group=replica.identity.group,
+        term=replica.term,
+        voter=replica.replica_id,
+        granted=granted,
+        pre=pre,
+    )
+    return effects.Send(to=to, message=reply)
--- /dev/null
+++ b/src/monsoonpass/core/events.py
@@ -0,0 +1,313 @@
+"""Events: everything that happens to a node, with its time and random bits."""
+
+import dataclasses
+from typing import Any
+
+from monsoonpass.core import address
+from monsoonpass.core import catalog
+from monsoonpass.core import outcome
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """Base of all events.
+
+    Attributes:
+        now_s: Time on a clock that never goes back and counts suspension.
+        entropy: 64 random bits.
+    """
+
+    now_s: float
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Timer:
+    """Base of all timers; equal timers are one timer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Election(Timer):
+    """No leader was heard for the election timeout."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat(Timer):
+    """The leader's heartbeats are due."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GroupUpkeep(Timer):
+    """The control group's members are due for a check."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitRetry(Timer):
+    """A submission that is not answered is due for another try."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PushRetry(Timer):
+    """A version that a data centre did not acknowledge is due again."""
+
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ColdStartRetry(Timer):
+    """The first version was not obtained yet."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FetchRetry(Timer):
+    """A fetch of a newer version was not answered."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Probe(Timer):
+    """The next member is due for a probe."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeTimeout(Timer):
+    """A probe was not answered in time."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspicion(Timer):
+    """A suspected member did not refute in time."""
+
+    instance: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Gossip(Timer):
+    """News of members is due to be spread."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Join(Timer):
+    """The member table is due for a first, or another, synchronisation."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Exchange(Timer):
+    """The exchange with other data centres is due."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallDeadline(Timer):
+    """A call's deadline has come."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QueueDeadline(Timer):
+    """The earliest deadline in the admission queue has come."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Hedge(Timer):
+    """A call is slow enough to be tried on a second upstream."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DrainCheck(Timer):
+    """A planned stop checks whether work is still in progress."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Started(Event):
+    """The process started.
+
+    Attributes:
+        wall_ms: Wall clock, used only to order incarnations.
+        journal: Records recovered from the disk; empty without a disk.
+    """
+
+    wall_ms: int
+    journal: tuple[Any, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerMessage(Event):
+    """A message came from a peer, by stream or datagram."""
+
+    sender: address.Address
+    message: Any
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LinkLost(Event):
+    """The last stream to a peer ended, or none could be opened."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TimerFired(Event):
+    """A timer fired."""
+
+    timer: Timer
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DiskSynced(Event):
+    """All writes up to a number are durable."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DiskFailed(Event):
+    """A write failed; nothing after it will be durable."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitRequested(Event):
+    """An operator submitted a valid configuration."""
+
+    request_id: int
+    snapshot: catalog.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamAnnounced(Event):
+    """The upstream of this instance announced itself.
+
+    Attributes:
+        service: Name of the service it serves.
+        slots: Calls that it runs at once.
+        cold: Whether it has a cold start ahead.
+    """
+
+    service: str
+    slots: int
+    cold: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamDraining(Event):
+    """The upstream of this instance announced that it leaves."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallArrived(Event):
+    """A caller's call arrived at this node.
+
+    Attributes:
+        call_id: The call's number at this node.
+        service: Service addressed.
+        method: HTTP method.
+        path: Path without the query.
+        timeout_s: The caller's own limit, or None.
+        key: Idempotency key, or None.
+    """
+
+    call_id: int
+    service: str
+    method: str
+    path: str
+    timeout_s: float | None
+    key: str | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone(Event):
+    """The caller closed its connection before the answer was complete."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerCallArrived(Event):
+    """A peer forwarded a call for this node's own upstream.
+
+    Attributes:
+        work_id: The call's number at this node.
+        sender: Instance that forwarded it.
+        service: Service addressed.
+        timeout_s: Time left until its deadline.
+        priority: Order of admission, lowest first.
+        bulk: Whether the route is bulk.
+        route: Name of the route, for its learned service time.
+    """
+
+    work_id: int
+    sender: str
+    service: str
+    timeout_s: float
+    priority: int
+    bulk: bool
+    route: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerCallCancelled(Event):
+    """The peer gave up a call that it forwarded."""
+
+    work_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WorkFinished(Event):
+    """A call on this node's own upstream ended.
+
+    Attributes:
+        work_id: The call's number at this node.
+        service_time_s: Time from dispatch to the end of the answer.
+        failure: None after a whole answer.
+        shed: Whether the upstream itself refused for load.
+    """
+
+    work_id: int
+    service_time_s: float
+    failure: outcome.Failure | None
+    shed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptHeadReceived(Event):
+    """The owner began to answer an attempt.
+
+    Attributes:
+        call_id: The call's number at this node.
+        attempt: Number of the attempt; 0 for the own upstream.
+        load: The owner's load, if it told.
+    """
+
+    call_id: int
+    attempt: int
+    load: outcome.Load | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptEnded(Event):
+    """An attempt ended.
+
+    Attributes:
+        call_id: The call's number at this node.
+        attempt: Number of the attempt.
+        failure: None after a whole answer.
+        load: The owner's load, if it told.
+    """
+
+    call_id: int
+    attempt: int
+    failure: outcome.Failure | None
+    load: outcome.Load | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StopRequested(Event):
+    """A planned stop began."""
--- /dev/null
+++ b/src/monsoonpass/core/follower.py
@@ -0,0 +1,111 @@
+"""The follower's rules: accepting entries and snapshots from the leader."""
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import effects
+from monsoonpass.core import group
+from monsoonpass.core import replica as replica_lib
+
+
+@group.receive.register
+def _(
+    message: records.Append,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    if message.term < replica.term:
+        return [_reply(replica, sender, message.sent_s, success=False)]
+    result = _follow(replica, message, now_s, entropy)
+    held_term = replica.log.term_at(message.previous_index)
+    if held_term is None or held_term != message.previous_term:
+        hint = _hint(replica, message.previous_index)
+        reply = _reply(
+            replica, sender, message.sent_s, success=False, match=hint
+        )
+        return [*result, reply]
+    fresh = _drop_held(replica, message.entries)
+    if fresh:
+        result.append(replica.append(fresh))
+    match = message.previous_index + len(message.entries)
+    reply = _reply(replica, sender, message.sent_s, success=True, match=match)
+    result += replica.disk.after_sync([reply])
+    return result + group.commit_to(replica, min(message.commit_index, match))
+
+
+@group.receive.register
+def _(
+    message: records.InstallSnapshot,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    if message.term < replica.term:
+        return [_reply(replica, sender, message.sent_s, success=False)]
+    result = _follow(replica, message, now_s, entropy)
+    if message.snapshot.index > replica.commit_index:
+        replica.load_snapshot(message.snapshot)
+        replica.notices.append(replica_lib.Restored())
+        result.append(replica.disk.write([message.snapshot]))
+    match = replica.commit_index
+    reply = _reply(replica, sender, message.sent_s, success=True, match=match)
+    return result + replica.disk.after_sync([reply])
+
+
+def _follow(
+    replica: replica_lib.Replica,
+    message: records.Append | records.InstallSnapshot,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    """Accept the sender as the leader of its term."""
+    result: list[effects.Effect] = []
+    is_follower = replica.role is replica_lib.Role.FOLLOWER
+    if message.term > replica.term or not is_follower:
+        result += group.become_follower(replica, message.term, entropy)
+    replica.leader_id = message.leader
+    replica.leader_heard_s = now_s
+    return result
+
+
+def _hint(replica: replica_lib.Replica, previous_index: int) -> int:
+    """Return an index at which the logs may match."""
+    hint = min(previous_index - 1, replica.log.last_index)
+    return max(hint, replica.commit_index)
+
+
+def _drop_held(
+    replica: replica_lib.Replica, entries: tuple[records.Entry, ...]
+) -> tuple[records.Entry, ...]:
+    """Cut entries already held; truncate the log at a conflict."""
+    for position, entry in enumerate(entries):
+        if entry.index <= replica.log.base_index:
+            continue
+        held_term = replica.log.term_at(entry.index)
+        if held_term == entry.term:
+            continue
+        if held_term is not None:
+            replica.truncate_from(entry.index)
+        return entries[position:]
+    return ()
+
+
+def _reply(
+    replica: replica_lib.Replica,
+    to: address_lib.Address,
+    sent_s: float,
+    *,
+    success: bool,
+    match: int = 0,
+) -> effects.Send:
+    reply = records.AppendReply(
+        group=replica.identity.group,
+        term=replica.term,
+        replica=replica.replica_id,
+        success=success,
+        match_index=match,
+        sent_s=sent_s,
+    )
+    return effects.Send(to=to, message=reply)
--- /dev/null
+++ b/src/monsoonpass/core/group.py
@@ -0,0 +1,112 @@
+"""Rules that every role of a replica shares, and the dispatch of messages."""
+
+import functools
+from typing import Any
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import replica as replica_lib
+
+
+@functools.singledispatch
+def receive(
+    message: Any,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    """Apply a message of the group, dispatched on its type.
+
+    Args:
+        message: A message of `consensus_records`.
+        replica: The replica that received it.
+        sender: The node that sent it.
+        now_s: Time of the event.
+        entropy: Random bits.
+
+    Returns:
+        Effects.
+    """
+    raise TypeError(f"no handler for {type(message).__name__}")
+
+
+def become_follower(
+    replica: replica_lib.Replica, term: int, entropy: int
+) -> list[effects.Effect]:
+    """Fall back to a follower without a known leader."""
+    result: list[effects.Effect] = []
+    if replica.is_leader:
+        result.append(
+            effects.Log(
+                code=logbook.Code.LEADER_RESIGNED,
+                fields={"term": replica.term},
+            )
+        )
+        result.append(effects.CancelTimer(timer=events.Heartbeat()))
+        _drop_tokens(replica)
+    replica.role = replica_lib.Role.FOLLOWER
+    replica.votes.clear()
+    replica.leader_id = 0
+    if term > replica.term:
+        replica.term = term
+        replica.voted_for = 0
+        result.append(replica.write_hard_state())
+    result.append(election_timer(entropy))
+    return result
+
+
+def election_timer(entropy: int, quiet_s: float = 0.0) -> effects.SetTimer:
+    """Return the effect that sets a random election timer.
+
+    Args:
+        entropy: Random bits.
+        quiet_s: Part of the time that has already passed.
+
+    Returns:
+        The effect.
+    """
+    timeout_s = entropy_lib.Entropy(bits=entropy).uniform(
+        replica_lib.ELECTION_MIN_S, replica_lib.ELECTION_MAX_S
+    )
+    return effects.SetTimer(
+        timer=events.Election(), delay_s=max(timeout_s - quiet_s, 0.01)
+    )
+
+
+def commit_to(replica: replica_lib.Replica, index: int) -> list[effects.Effect]:
+    """Raise the commit index and apply the entries up to it."""
+    replica.commit_index = max(replica.commit_index, index)
+    result: list[effects.Effect] = []
+    while replica.applied_index < replica.commit_index:
+        replica.applied_index += 1
+        entry = replica.log.entry(replica.applied_index)
+        token = replica.tokens.pop(entry.index, None)
+        if entry.kind is records.EntryKind.COMMAND:
+            outcome = replica.machine.apply(entry.data)
+            replica.notices.append(
+                replica_lib.Applied(
+                    index=entry.index, result=outcome, token=token
+                )
+            )
+        elif entry.kind is records.EntryKind.MEMBERS:
+            voters = len(replica.members_at(entry.index).voters)
+            result.append(
+                effects.Log(
+                    code=logbook.Code.VOTERS_CHANGED, fields={"voters": voters}
+                )
+            )
+    return result
+
+
+def _drop_tokens(replica: replica_lib.Replica) -> None:
+    for token in replica.tokens.values():
+        replica.notices.append(replica_lib.Dropped(token=token))
+    for read in replica.reads:
+        replica.notices.append(replica_lib.Dropped(token=read.token))
+    replica.tokens.clear()
+    replica.reads.clear()
--- /dev/null
+++ b/src/monsoonpass/core/member_table.py
@@ -0,0 +1,126 @@
+"""The table of the members of one data centre."""
+
+from collections.abc import Iterable
+import hashlib
+
+from monsoonpass.core import member as member_lib
+
+BUCKETS = 32
+TOMBSTONE_S = 300.0
+
+
+class MemberTable:
+    """Members by instance name, with digests for comparing two tables.
+
+    The digests cover present members only; records of dead members and of
+    those that left are kept for a while, so that old news cannot revive them.
+
+    Attributes:
+        by_service: Present members by service, then by instance.
+        present_count: Number of members that are alive or suspected.
+        suspect_count: Number of members that are suspected.
+    """
+
+    def __init__(self) -> None:
+        self.present_count = 0
+        self.suspect_count = 0
+        self._members: dict[str, member_lib.Member] = {}
+        self._gone_s: dict[str, float] = {}
+        self._buckets = [0] * BUCKETS
+        self.by_service: dict[str, dict[str, member_lib.Member]] = {}
+
+    def get(self, instance: str) -> member_lib.Member | None:
+        """Return a record by instance name, or None."""
+        return self._members.get(instance)
+
+    def present(self) -> list[member_lib.Member]:
+        """Return all members that are alive or suspected."""
+        return [m for m in self._members.values() if m.is_present]
+
+    def alive(self) -> list[member_lib.Member]:
+        """Return all members that are not even suspected."""
+        alive = member_lib.MemberState.ALIVE
+        return [m for m in self._members.values() if m.state is alive]
+
+    def put(self, member: member_lib.Member, now_s: float) -> None:
+        """Store a record in place of an older one."""
+        old = self._members.get(member.instance)
+        if old is not None:
+            self._index(old, adds=False)
+        self._members[member.instance] = member
+        self._index(member, adds=True)
+        if member.is_present:
+            self._gone_s.pop(member.instance, None)
+        else:
+            self._gone_s.setdefault(member.instance, now_s)
+
+    def purge(self, now_s: float) -> None:
+        """Forget records of members that are gone for long enough."""
+        for instance, gone_s in list(self._gone_s.items()):
+            if now_s - gone_s > TOMBSTONE_S:
+                del self._gone_s[instance]
+                del self._members[instance]
+
+    @property
+    def buckets(self) -> tuple[int, ...]:
+        """Digest of each bucket."""
+        return tuple(self._buckets)
+
+    @property
+    def digest(self) -> int:
+        """Digest of all present members."""
+        total = 0
+        for position, value in enumerate(self._buckets):
+            total ^= (value * (2 * position + 1)) & 0xFFFFFFFFFFFFFFFF
+        return total
+
+    def in_buckets(self, numbers: Iterable[int]) -> list[member_lib.Member]:
+        """Return every record, present or gone, in some buckets."""
+        wanted = set(numbers)
+        return [
+            member
+            for member in self._members.values()
+            if _bucket(member.instance) in wanted
+        ]
+
+    def _index(self, member: member_lib.Member, *, adds: bool) -> None:
+        if not member.is_present:
+            return
+        step = 1 if adds else -1
+        self.present_count += step
+        if member.state is member_lib.MemberState.SUSPECT:
+            self.suspect_count += step
+        # Suspicion is local opinion, so it does not count as a difference.
+        self._buckets[_bucket(member.instance)] ^= _digest(member)
+        if not member.service:
+            return
+        group = self.by_service.setdefault(member.service, {})
+        if adds:
+            group[member.instance] = member
+        else:
+            group.pop(member.instance, None)
+
+
+def rank(instance: str, salt: str) -> int:
+    """Return the rendezvous rank of an instance; lowest is first.
+
+    Args:
+        instance: Name of the instance.
+        salt: What the ranking is for.
+
+    Returns:
+        A number that every node computes alike.
+    """
+    digest = hashlib.blake2b(f"{salt}/{instance}".encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def _bucket(instance: str) -> int:
+    return rank(instance, "bucket") % BUCKETS
+
+
+def _digest(member: member_lib.Member) -> int:
+    fields = f"{member.instance}/{member.incarnation}"
+    return int.from_bytes(
+        hashlib.blake2b(fields.encode(), digest_size=8).digest(), "big"
+    )
--- /dev/null
+++ b/src/monsoonpass/core/node.py
@@ -0,0 +1,236 @@
+"""The state of one node: the sub-state of each subject, and its settings."""
+
+import collections
+import dataclasses
+from typing import Any
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import admission as admission_lib
+from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import control_machine
+from monsoonpass.core import disk_queue
+from monsoonpass.core import member as member_lib
+from monsoonpass.core import member_table
+from monsoonpass.core import replica as replica_lib
+from monsoonpass.core import routing_table
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Seed:
+    """A node that is known from the settings."""
+
+    address: address_lib.Address
+    data_centre: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """What the reducer needs to know of the settings.
+
+    Attributes:
+        address: Where this node listens for its peers.
+        data_centre: Its data centre.
+        region: The region of that data centre.
+        has_disk: Whether it has a data folder.
+        seeds: Nodes known in advance, in any data centre.
+        bootstrap_voters: Instances that form the control group at first.
+        voter_replace_s: Silence after which a voter is replaced.
+        queue_limit: Calls that may wait for a slot of the own upstream.
+        calls_limit: Calls that may be in progress through this node.
+        drain_limit_s: Longest time that a planned stop waits.
+    """
+
+    address: address_lib.Address
+    data_centre: str
+    region: str
+    has_disk: bool
+    seeds: tuple[Seed, ...]
+    bootstrap_voters: tuple[str, ...]
+    voter_replace_s: float = 30.0
+    queue_limit: int = 256
+    calls_limit: int = 2048
+    drain_limit_s: float = 30.0
+
+    @property
+    def local_seeds(self) -> tuple[Seed, ...]:
+        """Seeds of the own data centre, without this node."""
+        return tuple(
+            seed
+            for seed in self.seeds
+            if seed.data_centre == self.data_centre
+            and seed.address.instance != self.address.instance
+        )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Membership:
+    """The own data centre's members, as this node knows them.
+
+    Attributes:
+        own: This node's own record.
+        table: All members.
+        updates: News by instance: the record and how often to send it yet.
+        probes: Probes under way, by number.
+        probe_number: Number of the last probe.
+        probe_order: Members still to be probed in this round.
+        joined: Whether the table was synchronised with another node.
+        gossip_set: Whether the gossip timer runs.
+        mismatches: Contacts in a row whose table differed.
+        partitioned: Whether many members are silent at once.
+    """
+
+    own: member_lib.Member | None = None
+    table: member_table.MemberTable = dataclasses.field(
+        default_factory=member_table.MemberTable
+    )
+    updates: dict[str, list[Any]] = dataclasses.field(default_factory=dict)
+    probes: dict[int, Any] = dataclasses.field(default_factory=dict)
+    probe_number: int = 0
+    probe_order: list[str] = dataclasses.field(default_factory=list)
+    joined: bool = False
+    gossip_set: bool = False
+    mismatches: int = 0
+    partitioned: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Config:
+    """The configuration at this node.
+
+    Attributes:
+        catalog: The configuration in force; replaced whole.
+        ready: Whether the first version since the start was obtained.
+        in_force_since_s: When the version came into force here.
+        history: Recent changes, oldest first, for peers that lag.
+        fetching: Instance that a newer version was asked of, or empty.
+        fetch_version: The version hoped for.
+        cold_attempts: Attempts to obtain the first version.
+        pushes: The leader's pushes that a data centre has not acknowledged.
+    """
+
+    catalog: catalog_lib.Catalog = catalog_lib.EMPTY
+    ready: bool = False
+    in_force_since_s: float = 0.0
+    history: collections.deque[catalog_lib.Delta] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    fetching: str = ""
+    fetch_version: int = 0
+    cold_attempts: int = 0
+    pushes: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The version in force."""
+        return self.catalog.version
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Control:
+    """This node's part in the control group, or its view of it.
+
+    Attributes:
+        replica: The replica, on nodes that belong to the group.
+        machine: The replica's state machine.
+        identity: The disk's identity before it belongs to a group.
+        voters: Where the voters are, as far as known.
+        leader: Where the leader is, as far as known.
+        hint_followed_s: When a hint to the leader was last followed.
+        probed: Replica ids of bootstrap voters that have no group yet.
+        candidates: Disks that ask to join, by replica id.
+        submissions: Submissions from this node's operators, by request id.
+        queue: At the leader: submissions that wait for their turn.
+        proposing: At the leader: the submission that is being committed.
+    """
+
+    replica: replica_lib.Replica | None = None
+    machine: control_machine.ControlMachine = dataclasses.field(
+        default_factory=control_machine.ControlMachine
+    )
+    identity: Any = None
+    voters: tuple[address_lib.Address, ...] = ()
+    leader: address_lib.Address | None = None
+    hint_followed_s: float = float("-inf")
+    probed: dict[str, int] = dataclasses.field(default_factory=dict)
+    candidates: dict[int, Any] = dataclasses.field(default_factory=dict)
+    submissions: dict[int, Any] = dataclasses.field(default_factory=dict)
+    queue: collections.deque[Any] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    proposing: Any = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Directory:
+    """What is known of other data centres.
+
+    Attributes:
+        contacts: Nodes of each other data centre, by data centre.
+        heard_s: When each data centre was last heard of.
+        regions: Region of each data centre.
+        rtt_s: Smoothed round trip to each data centre.
+        endpoints: Members by service, then by data centre.
+        wanted_s: When each service's remote endpoints were last wanted.
+        asked_s: When each service's endpoints were last asked for.
+        askers: Nodes that wait for a service's endpoints, by service.
+    """
+
+    contacts: dict[str, tuple[address_lib.Address, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    rtt_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    endpoints: dict[str, dict[str, Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    wanted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    asked_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    askers: dict[str, dict[str, address_lib.Address]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Node:
+    """The whole state of one node.
+
+    Attributes:
+        settings: Its settings.
+        disk: Numbers the writes of the journal.
+        disk_failed: Whether a write has failed.
+        membership: Its data centre's members.
+        config: The configuration at this node.
+        control: The control group.
+        directory: Other data centres.
+        admission: The own upstream's slots and queue.
+        routing: What is known of upstreams from using them.
+        calls: Calls in progress through this node, by call id.
+        peer_works: Calls that peers forwarded here, by work id.
+        surveys: Status surveys under way, by number.
+        stopping: Whether a planned stop has begun.
+        stop_at_s: When a planned stop ends at the latest.
+    """
+
+    settings: Settings
+    disk: disk_queue.DiskQueue = dataclasses.field(
+        default_factory=disk_queue.DiskQueue
+    )
+    disk_failed: bool = False
+    membership: Membership = dataclasses.field(default_factory=Membership)
+    config: Config = dataclasses.field(default_factory=Config)
+    control: Control = dataclasses.field(default_factory=Control)
+    directory: Directory = dataclasses.field(default_factory=Directory)
+    admission: admission_lib.Admission = dataclasses.field(
+        default_factory=admission_lib.Admission
+    )
+    routing: routing_table.RoutingTable = dataclasses.field(
+        default_factory=routing_table.RoutingTable
+    )
+    calls: dict[int, Any] = dataclasses.field(default_factory=dict)
+    peer_works: dict[int, Any] = dataclasses.field(default_factory=dict)
+    surveys: dict[int, Any] = dataclasses.field(default_factory=dict)
+    survey_number: int = 0
+    stopping: bool = False
+    stop_at_s: float = 0.0
--- /dev/null
+++ b/src/monsoonpass/core/replica_log.py
@@ -0,0 +1,76 @@
+"""The in-memory log of a replica, above its last snapshot."""
+
+from collections.abc import Sequence
+
+from monsoonpass.core import consensus_records as records
+
+
+class ReplicaLog:
+    """Entries after a base that a snapshot covers.
+
+    Attributes:
+        base_index: Index of the last entry that the snapshot covers.
+        base_term: Term of that entry.
+    """
+
+    def __init__(self, *, base_index: int = 0, base_term: int = 0):
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries: list[records.Entry] = []
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the base."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, or of the base."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def entries(self) -> tuple[records.Entry, ...]:
+        """All entries after the base."""
+        return tuple(self._entries)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entry(self, index: int) -> records.Entry:
+        """Return an entry that is held."""
+        return self._entries[index - self.base_index - 1]
+
+    def batch(
+        self, first_index: int, limit_bytes: int
+    ) -> tuple[records.Entry, ...]:
+        """Return entries from an index on, at least one, up to a size."""
+        batch = []
+        size_bytes = 0
+        for entry in self._entries[first_index - self.base_index - 1 :]:
+            size_bytes += len(entry.data)
+            if batch and size_bytes > limit_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def append(self, entries: Sequence[records.Entry]) -> None:
+        """Append entries that follow the last one."""
+        self._entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at an index and all after it."""
+        del self._entries[index - self.base_index - 1 :]
+
+    def compact_to(self, index: int, term: int) -> None:
+        """Make a covered entry the base, forgetting it and all before it."""
+        if self.term_at(index) == term:
+            del self._entries[: index - self.base_index]
+        else:
+            self._entries.clear()
+        self.base_index = index
+        self.base_term = term
--- /dev/null
+++ b/src/monsoonpass/core/replication.py
@@ -0,0 +1,414 @@
+"""The leader's rules: proposals, replication, commitment and reads.
+
+A follower's slowness must not spread (the patterns of the fail-slow paper,
+chapter 3): each follower has a bounded window of batches in flight, an answer
+never makes the leader send a batch again, a follower that is behind the log
+gets a snapshot, and the leader waits only for a quorum.
+"""
+
+import dataclasses
+from typing import Any
+
+from monsoonpass import codec
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import group
+from monsoonpass.core import logbook
+from monsoonpass.core import replica as replica_lib
+
+HEARTBEAT_S = 0.15
+BATCH_BYTES = 64 * 1024
+WINDOW_BATCHES = 8
+UNANSWERED_MAX = 4
+PENDING_READS_MAX = 4096
+
+
+def become_leader(
+    replica: replica_lib.Replica, now_s: float
+) -> list[effects.Effect]:
+    """Take office: commit an empty entry of the new term first."""
+    replica.role = replica_lib.Role.LEADER
+    replica.leader_id = replica.replica_id
+    replica.leading_since_s = now_s
+    replica.progress = {}
+    result: list[effects.Effect] = [
+        effects.Log(
+            code=logbook.Code.LEADER_ELECTED, fields={"term": replica.term}
+        ),
+        effects.CancelTimer(timer=events.Election()),
+        effects.SetTimer(timer=events.Heartbeat(), delay_s=HEARTBEAT_S),
+    ]
+    return result + propose(
+        replica,
+        kind=records.EntryKind.NOOP,
+        data=b"",
+        token=None,
+        now_s=now_s,
+    )
+
+
+def propose(
+    replica: replica_lib.Replica,
+    *,
+    kind: records.EntryKind,
+    data: bytes,
+    token: Any,
+    now_s: float,
+) -> list[effects.Effect]:
+    """Append an entry as leader and send it to the followers.
+
+    Args:
+        replica: The leader.
+        kind: What the entry is for.
+        data: Its content.
+        token: Comes back in `Applied` or `Dropped`; None for neither.
+        now_s: Time of the event.
+
+    Returns:
+        Effects.
+
+    Raises:
+        NotLeaderError: This replica does not lead.
+    """
+    if not replica.is_leader or replica.failed:
+        raise replica_lib.NotLeaderError("this replica does not lead")
+    entry = records.Entry(
+        index=replica.log.last_index + 1,
+        term=replica.term,
+        kind=kind,
+        data=data,
+    )
+    if token is not None:
+        replica.tokens[entry.index] = token
+    result: list[effects.Effect] = [replica.append((entry,))]
+    _sync_progress(replica)
+    for member in replica.others:
+        result += _replicate(replica, member, now_s)
+    return result
+
+
+def propose_members(
+    replica: replica_lib.Replica, members: records.Members, *, now_s: float
+) -> list[effects.Effect]:
+    """Propose a change of at most one voter.
+
+    Args:
+        replica: The leader.
+        members: All members after the change.
+        now_s: Time of the event.
+
+    Returns:
+        Effects.
+
+    Raises:
+        ChangeInProgressError: An earlier change or the first entry of the
+            term is not committed, or more than one voter differs.
+    """
+    last_change = replica.members_log[-1][0] if replica.members_log else 0
+    if last_change > replica.commit_index or not replica.is_ready_leader:
+        raise replica_lib.ChangeInProgressError(
+            "an earlier change is not committed"
+        )
+    if len(set(members.voters) ^ set(replica.members.voters)) > 1:
+        raise replica_lib.ChangeInProgressError(
+            "only one voter may change at a time"
+        )
+    return propose(
+        replica,
+        kind=records.EntryKind.MEMBERS,
+        data=codec.encode(members),
+        token=None,
+        now_s=now_s,
+    )
+
+
+def start_read(
+    replica: replica_lib.Replica, *, token: Any, now_s: float
+) -> list[effects.Effect]:
+    """Start a linearizable read by read index.
+
+    Args:
+        replica: The leader.
+        token: Comes back in `ReadReady` or `Dropped`.
+        now_s: Time of the event.
+
+    Returns:
+        Effects: heartbeats whose answers the read waits for. Reads that are
+        asked while a round is under way share the next one.
+
+    Raises:
+        NotLeaderError: This replica cannot serve reads now.
+    """
+    full = len(replica.reads) >= PENDING_READS_MAX
+    if full or not replica.is_ready_leader or replica.failed:
+        raise replica_lib.NotLeaderError("this replica cannot serve reads now")
+    first = not replica.reads
+    read = replica_lib.Read(
+        asked_s=now_s, index=replica.commit_index, token=token
+    )
+    replica.reads.append(read)
+    _finish_reads(replica, now_s)
+    return _send_heartbeats(replica, now_s) if first else []
+
+
+def synced(
+    replica: replica_lib.Replica, *, sequence: int, now_s: float
+) -> list[effects.Effect]:
+    """Count the entries whose write is now durable."""
+    while replica.unsynced and replica.unsynced[0][0] <= sequence:
+        index = replica.unsynced.popleft()[1]
+        replica.synced_index = min(index, replica.log.last_index)
+    return _advance_commit(replica, now_s)
+
+
+def link_lost(replica: replica_lib.Replica, instance: str) -> None:
+    """Forget what was in flight to a member whose stream broke."""
+    member = replica.members.find_instance(instance)
+    progress = replica.progress.get(member.replica_id) if member else None
+    if progress:
+        progress.restart_probe()
+        progress.unanswered = 0
+
+
+def heartbeat_timeout(
+    replica: replica_lib.Replica, *, now_s: float, entropy: int
+) -> list[effects.Effect]:
+    """Send heartbeats, or resign when no quorum answers."""
+    if not replica.is_leader or replica.failed:
+        return []
+    contact_s = max(
+        replica_lib.quorum_contact_s(replica, now_s), replica.leading_since_s
+    )
+    if now_s - contact_s > replica_lib.ELECTION_MAX_S:
+        return group.become_follower(replica, replica.term, entropy)
+    result: list[effects.Effect] = []
+    for member in replica.others:
+        progress = replica.progress[member.replica_id]
+        progress.unanswered += 1
+        if progress.unanswered > UNANSWERED_MAX:
+            progress.restart_probe()
+        result += _send_heartbeat(replica, member, now_s)
+    result.append(
+        effects.SetTimer(timer=events.Heartbeat(), delay_s=HEARTBEAT_S)
+    )
+    return result
+
+
+@group.receive.register
+def _(
+    message: records.AppendReply,
+    replica: replica_lib.Replica,
+    sender: address_lib.Address,
+    now_s: float,
+    entropy: int,
+) -> list[effects.Effect]:
+    if message.term > replica.term:
+        return group.become_follower(replica, message.term, entropy)
+    progress = replica.progress.get(message.replica)
+    member = replica.members.find(message.replica)
+    if not replica.is_leader or not progress or not member:
+        return []
+    if message.term < replica.term:
+        return []
+    progress.heard_s = now_s
+    progress.heard_sent_s = max(progress.heard_sent_s, message.sent_s)
+    progress.unanswered = 0
+    if message.success:
+        _count_success(progress, message.match_index)
+    else:
+        _count_rejection(replica, progress, message.match_index)
+    result = _advance_commit(replica, now_s)
+    if not replica.is_leader:
+        return result
+    result += _replicate(replica, member, now_s)
+    return result + _finish_reads(replica, now_s)
+
+
+def _count_success(progress: replica_lib.Progress, match_index: int) -> None:
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    progress.probing = False
+    while progress.in_flight and progress.in_flight[0] <= match_index:
+        progress.in_flight.popleft()
+
+
+def _count_rejection(
+    replica: replica_lib.Replica,
+    progress: replica_lib.Progress,
+    hint_index: int,
+) -> None:
+    progress.restart_probe()
+    progress.next_index = max(
+        progress.match_index + 1,
+        min(hint_index + 1, replica.log.last_index + 1),
+    )
+
+
+def _sync_progress(replica: replica_lib.Replica) -> None:
+    """Keep one progress record for each other member."""
+    ids = {member.replica_id for member in replica.others}
+    for replica_id in set(replica.progress) - ids:
+        del replica.progress[replica_id]
+    for replica_id in ids - set(replica.progress):
+        replica.progress[replica_id] = replica_lib.Progress(
+            next_index=replica.log.last_index
+        )
+
+
+def _replicate(
+    replica: replica_lib.Replica, member: records.Member, now_s: float
+) -> list[effects.Effect]:
+    """Send what a member lacks, up to its window; nothing twice."""
+    progress = replica.progress[member.replica_id]
+    result: list[effects.Effect] = []
+    window = 1 if progress.probing else WINDOW_BATCHES
+    while (
+        progress.next_index <= replica.log.last_index
+        and len(progress.in_flight) < window
+    ):
+        result.append(_next_batch(replica, member, progress, now_s))
+    return result
+
+
+def _next_batch(
+    replica: replica_lib.Replica,
+    member: records.Member,
+    progress: replica_lib.Progress,
+    now_s: float,
+) -> effects.Send:
+    if progress.next_index <= replica.log.base_index:
+        snapshot = replica_lib.snapshot(replica)
+        progress.next_index = snapshot.index + 1
+        progress.in_flight.append(snapshot.index)
+        message: Any = records.InstallSnapshot(
+            group=replica.identity.group,
+            term=replica.term,
+            leader=replica.replica_id,
+            snapshot=snapshot,
+            sent_s=now_s,
+        )
+        return effects.Send(to=member.address, message=message)
+    batch = replica.log.batch(progress.next_index, BATCH_BYTES)
+    message = _append_message(replica, progress.next_index - 1, batch, now_s)
+    progress.next_index += len(batch)
+    progress.in_flight.append(batch[-1].index)
+    return effects.Send(to=member.address, message=message)
+
+
+def _append_message(
+    replica: replica_lib.Replica,
+    previous_index: int,
+    entries: tuple[records.Entry, ...],
+    now_s: float,
+) -> records.Append:
+    previous_term = replica.log.term_at(previous_index)
+    return records.Append(
+        group=replica.identity.group,
+        term=replica.term,
+        leader=replica.replica_id,
+        previous_index=previous_index,
+        previous_term=previous_term,
+        entries=entries,
+        commit_index=replica.commit_index,
+        sent_s=now_s,
+    )
+
+
+def _send_heartbeats(
+    replica: replica_lib.Replica, now_s: float
+) -> list[effects.Effect]:
+    result: list[effects.Effect] = []
+    for member in replica.others:
+        result += _send_heartbeat(replica, member, now_s)
+    return result
+
+
+def _send_heartbeat(
+    replica: replica_lib.Replica, member: records.Member, now_s: float
+) -> list[effects.Effect]:
+    """Send a heartbeat, seldom to a member that does not answer."""
+    progress = replica.progress[member.replica_id]
+    is_slow = progress.unanswered > UNANSWERED_MAX
+    if is_slow and progress.unanswered % (2 * UNANSWERED_MAX):
+        return []
+    previous = max(progress.next_index - 1, replica.log.base_index)
+    previous = min(previous, replica.log.last_index)
+    message = _append_message(replica, previous, (), now_s)
+    return [effects.Send(to=member.address, message=message)]
+
+
+def _advance_commit(
+    replica: replica_lib.Replica, now_s: float
+) -> list[effects.Effect]:
+    """Commit what a quorum has synced, if it is of this leader's term."""
+    if not replica.is_leader:
+        return []
+    matches = sorted(
+        replica.synced_index
+        if replica_id == replica.replica_id
+        else replica.progress[replica_id].match_index
+        for replica_id in replica.members.voters
+    )
+    index = matches[len(matches) - replica.members.quorum]
+    if index <= replica.commit_index:
+        return []
+    if replica.log.term_at(index) != replica.term:
+        return []
+    result = group.commit_to(replica, index)
+    result += _finish_reads(replica, now_s)
+    result += _send_heartbeats(replica, now_s)
+    if not replica.is_voter:
+        result += group.become_follower(replica, replica.term, replica.term)
+    return result
+
+
+def _finish_reads(
+    replica: replica_lib.Replica, now_s: float
+) -> list[effects.Effect]:
+    """Answer the reads that a quorum has confirmed since they were asked."""
+    if not replica.reads or not replica.is_ready_leader:
+        return []
+    contact_s = replica_lib.quorum_contact_s(replica, now_s)
+    waiting = []
+    finished = False
+    for read in replica.reads:
+        if contact_s >= read.asked_s and replica.applied_index >= read.index:
+            replica.notices.append(replica_lib.ReadReady(token=read.token))
+            finished = True
+        else:
+            waiting.append(read)
+    replica.reads = waiting
+    return _send_heartbeats(replica, now_s) if waiting and finished else []
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberProgress:
+    """What the leader reports of one member."""
+
+    replica_id: int
+    instance: str
+    voter: bool
+    match_index: int
+    quiet_s: float
+
+
+def report(replica: replica_lib.Replica, now_s: float) -> list[MemberProgress]:
+    """Return the leader's view of every other member."""
+    result = []
+    for member in replica.others:
+        progress = replica.progress.get(member.replica_id)
+        if progress is None:
+            continue
+        heard_s = max(progress.heard_s, replica.leading_since_s)
+        result.append(
+            MemberProgress(
+                replica_id=member.replica_id,
+                instance=member.address.instance,
+                voter=member.voter,
+                match_index=progress.match_index,
+                quiet_s=now_s - heard_s,
+            )
+        )
+    return result
--- /dev/null
+++ b/src/monsoonpass/core/routing_table.py
@@ -0,0 +1,193 @@
+"""What a node has learned of upstreams by using them."""
+
+import dataclasses
+import math
+import statistics
+
+from monsoonpass.core import outcome
+
+SMOOTHING = 0.2
+LOAD_FRESH_S = 1.0
+DEFAULT_SERVICE_TIME_S = 0.01
+FAILURES_TO_EJECT = 3
+EJECT_S = 2.0
+EJECT_MAX_S = 30.0
+PEERS_MAX = 8192
+BUDGET_RATIO = 0.1
+BUDGET_MAX = 20.0
+BUDGET_START = 5.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Peer:
+    """One upstream instance as seen from here.
+
+    Attributes:
+        first_seen_s: When it was first used or known.
+        in_flight: Calls of this node that it has not answered.
+        load: The load it reported last.
+        load_s: When it reported.
+        sent_since: Calls sent to it since that report.
+        latency_s: Smoothed time from forwarding to the answer's head.
+        failures: Failures in a row.
+        ejections: Times in a row that it was ejected.
+        ejected_until_s: No calls before this time.
+    """
+
+    first_seen_s: float
+    in_flight: int = 0
+    load: outcome.Load | None = None
+    load_s: float = -math.inf
+    sent_since: int = 0
+    latency_s: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_s: float = -math.inf
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RetryBudget:
+    """Bounds retries to a share of the calls of a service."""
+
+    tokens: float = BUDGET_START
+
+    def deposit(self) -> None:
+        """Count a call."""
+        self.tokens = min(self.tokens + BUDGET_RATIO, BUDGET_MAX)
+
+    def withdraw(self) -> bool:
+        """Take the price of one retry; False if there is none left."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tail:
+    """A running estimate of a route's 95th percentile of latency."""
+
+    p95_s: float = 0.0
+    count: int = 0
+
+    def add(self, latency_s: float) -> None:
+        """Count one latency, by stochastic approximation."""
+        self.count += 1
+        if self.count == 1:
+            self.p95_s = latency_s
+            return
+        step_s = max(self.p95_s, 1e-4) * 0.05
+        self.p95_s += (
+            step_s * 0.95 if latency_s > self.p95_s else -(step_s * 0.05)
+        )
+
+
+class RoutingTable:
+    """Peers by instance, retry budgets by service, tails by route."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, Peer] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.tails: dict[str, Tail] = {}
+        self.parked: dict[str, list[int]] = {}
+
+    def peer(self, instance: str, now_s: float) -> Peer:
+        """Return what is known of an instance, new if nothing is."""
+        peer = self.peers.get(instance)
+        if peer is None:
+            if len(self.peers) >= PEERS_MAX:
+                self.peers.pop(next(iter(self.peers)))
+            peer = Peer(first_seen_s=now_s)
+            self.peers[instance] = peer
+        return peer
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self.budgets.setdefault(service, RetryBudget())
+
+    def tail(self, route: str) -> Tail:
+        """Return the latency tail of a route."""
+        return self.tails.setdefault(route, Tail())
+
+    def sent(self, instance: str, now_s: float) -> None:
+        """Count a call that was forwarded."""
+        peer = self.peer(instance, now_s)
+        peer.in_flight += 1
+        peer.sent_since += 1
+
+    def reported(
+        self, instance: str, load: outcome.Load | None, now_s: float
+    ) -> None:
+        """Take the load that an answer carried."""
+        if load is None:
+            return
+        peer = self.peer(instance, now_s)
+        peer.load = load
+        peer.load_s = now_s
+        peer.sent_since = 0
+
+    def answered(self, instance: str, latency_s: float, now_s: float) -> None:
+        """Count a whole answer."""
+        peer = self.peer(instance, now_s)
+        peer.in_flight = max(peer.in_flight - 1, 0)
+        peer.failures = 0
+        peer.ejections = 0
+        if peer.latency_s == 0.0:
+            peer.latency_s = latency_s
+        peer.latency_s += SMOOTHING * (latency_s - peer.latency_s)
+
+    def refused(self, instance: str, now_s: float) -> None:
+        """Count a refusal, which says nothing against the upstream."""
+        peer = self.peer(instance, now_s)
+        peer.in_flight = max(peer.in_flight - 1, 0)
+
+    def failed(self, instance: str, now_s: float) -> None:
+        """Count a failure; several in a row eject the instance."""
+        peer = self.peer(instance, now_s)
+        peer.in_flight = max(peer.in_flight - 1, 0)
+        peer.failures += 1
+        if peer.failures >= FAILURES_TO_EJECT:
+            peer.failures = 0
+            peer.ejections += 1
+            period_s = min(EJECT_S * 2**peer.ejections, EJECT_MAX_S)
+            peer.ejected_until_s = now_s + period_s
+
+    def unreachable(self, instance: str, now_s: float) -> None:
+        """Eject an instance whose node cannot be reached, for a moment."""
+        peer = self.peer(instance, now_s)
+        peer.ejected_until_s = max(peer.ejected_until_s, now_s + EJECT_S)
+
+    def predict_s(self, instance: str, link_s: float, now_s: float) -> float:
+        """Predict the time until a call sent now would be answered.
+
+        Args:
+            instance: The candidate.
+            link_s: Round trip to its data centre.
+            now_s: Time of the event.
+
+        Returns:
+            Seconds; relative order matters more than the value.
+        """
+        peer = self.peers.get(instance)
+        if peer is None:
+            return link_s + DEFAULT_SERVICE_TIME_S
+        load = peer.load
+        if load is None or now_s - peer.load_s > LOAD_FRESH_S:
+            service_s = peer.latency_s or DEFAULT_SERVICE_TIME_S
+            return link_s + service_s * (1 + peer.in_flight)
+        busy = load.in_progress + load.queued + peer.sent_since
+        waiting = max(busy + 1 - load.slots, 0)
+        service_s = max(load.service_time_s, 1e-4)
+        crowding = busy / max(load.slots, 1) * 0.1
+        return link_s + service_s * (
+            1 + crowding + waiting / max(load.slots, 1)
+        )
+
+    def median_latency_s(self, instances: list[str]) -> float:
+        """Return the median smoothed latency of some instances."""
+        known = [
+            self.peers[name].latency_s
+            for name in instances
+            if name in self.peers and self.peers[name].latency_s > 0
+        ]
+        return statistics.median(known) if known else 0.0
--- /dev/null
+++ b/src/monsoonpass/core/step.py
@@ -0,0 +1,52 @@
+"""The three dispatch points of the reducer.
+
+Every handler takes what happened and the state, changes the state, and
+returns the effects for the runtime to perform in order.
+"""
+
+import functools
+from typing import Any
+
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import node
+
+
+@functools.singledispatch
+def step(event: events.Event, state: node.Node) -> list[effects.Effect]:
+    """Apply one event to the state.
+
+    Args:
+        event: What happened, with its time and random bits.
+        state: The node's state, changed in place.
+
+    Returns:
+        What the runtime must do, in order.
+    """
+    raise TypeError(f"no handler for event {type(event).__name__}")
+
+
+@functools.singledispatch
+def receive(
+    message: Any, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    """Apply a message from a peer, dispatched on the message's type."""
+    raise TypeError(f"no handler for message {type(message).__name__}")
+
+
+@functools.singledispatch
+def expire(
+    timer: events.Timer, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    """Apply a timer that fired, dispatched on the timer's type."""
+    raise TypeError(f"no handler for timer {type(timer).__name__}")
+
+
+@step.register
+def _(event: events.PeerMessage, state: node.Node) -> list[effects.Effect]:
+    return receive(event.message, event, state)
+
+
+@step.register
+def _(event: events.TimerFired, state: node.Node) -> list[effects.Effect]:
+    return expire(event.timer, event, state)
--- /dev/null
+++ b/src/monsoonpass/core/submission.py
@@ -0,0 +1,346 @@
+"""Submissions: from any node to the leader, and their answers."""
+
+import dataclasses
+
+from monsoonpass import codec
+from monsoonpass import errors
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import config_messages as messages
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import control_machine
+from monsoonpass.core import distribution
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import node
+from monsoonpass.core import replica as replica_lib
+from monsoonpass.core import replication
+from monsoonpass.core import step
+
+RETRY_S = 0.3
+FORWARD_TIMEOUT_S = 1.5
+GIVE_UP_S = 5.0
+QUEUE_MAX = 64
+
+Status = messages.SubmitStatus
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Pending:
+    """A submission of an operator at this node.
+
+    Attributes:
+        snapshot: The configuration.
+        asked_s: When the operator asked.
+        outstanding: Times that a leader may have taken it.
+        last_forward_s: When it was last given to a leader.
+    """
+
+    snapshot: catalog_lib.Snapshot
+    asked_s: float
+    outstanding: int = 0
+    last_forward_s: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A submission that waits at the leader.
+
+    Attributes:
+        origin: Node of the operator.
+        request_id: The request's number there.
+        snapshot: The configuration.
+    """
+
+    origin: address_lib.Address
+    request_id: int
+    snapshot: catalog_lib.Snapshot
+
+
+@step.step.register
+def _(event: events.SubmitRequested, state: node.Node) -> list[effects.Effect]:
+    if len(state.control.submissions) >= QUEUE_MAX:
+        reply = _reply(state, event.request_id, Status.BUSY)
+        return [effects.Reply(request_id=event.request_id, result=reply)]
+    state.control.submissions[event.request_id] = Pending(
+        snapshot=event.snapshot, asked_s=event.now_s
+    )
+    return _advance(state, event, event.request_id)
+
+
+@step.expire.register
+def _(
+    timer: events.SubmitRetry, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return _advance(state, event, timer.request_id)
+
+
+@step.receive.register
+def _(
+    message: messages.SubmitForward, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    job = Job(
+        origin=event.sender,
+        request_id=message.request_id,
+        snapshot=message.snapshot,
+    )
+    return _enqueue(state, event, job)
+
+
+@step.receive.register
+def _(
+    message: messages.SubmitReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    return _answered(state, event, message)
+
+
+def applied(
+    state: node.Node,
+    event: events.Event,
+    notice: replica_lib.Applied,
+) -> list[effects.Effect]:
+    """Answer the submission whose entry was applied, and start the next.
+
+    Args:
+        state: The node.
+        event: The cause, for its time and random bits.
+        notice: What the replica reported.
+
+    Returns:
+        Effects.
+    """
+    result: list[effects.Effect] = []
+    if isinstance(notice.result, control_machine.VersionAccepted):
+        delta = notice.result.delta
+        result.append(
+            effects.Log(
+                code=logbook.Code.VERSION_ACCEPTED,
+                fields={"version": delta.version},
+            )
+        )
+        result += distribution.accepted(state, event, delta)
+    if isinstance(notice.token, Job):
+        state.control.proposing = None
+        result += _decide(state, event, notice.token)
+    return result + _propose_next(state, event)
+
+
+def dropped(
+    state: node.Node, event: events.Event, job: Job
+) -> list[effects.Effect]:
+    """Tell that a submission's fate is unknown after leadership was lost."""
+    state.control.proposing = None
+    result = _answer(state, event, job, Status.UNCONFIRMED)
+    return result + resign(state, event)
+
+
+def resign(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Send back what waits at a node that no longer leads."""
+    result: list[effects.Effect] = []
+    while state.control.queue:
+        job = state.control.queue.popleft()
+        result += _answer(state, event, job, Status.NOT_LEADER)
+    return result
+
+
+def leader_of(state: node.Node) -> address_lib.Address | None:
+    """Return where the leader is, as far as this node knows."""
+    replica = state.control.replica
+    if replica is not None:
+        return replica.leader_address
+    return state.control.leader
+
+
+def leader_confirmed(
+    state: node.Node, event: events.PeerMessage
+) -> list[effects.Effect]:
+    """Give waiting submissions to a leader that a quorum has confirmed."""
+    result: list[effects.Effect] = []
+    for request_id, pending in state.control.submissions.items():
+        if event.now_s - pending.last_forward_s < FORWARD_TIMEOUT_S:
+            continue
+        pending.last_forward_s = event.now_s
+        pending.outstanding += 1
+        forward = messages.SubmitForward(
+            request_id=request_id, snapshot=pending.snapshot
+        )
+        result.append(effects.Send(to=event.sender, message=forward))
+    return result
+
+
+def _advance(
+    state: node.Node, event: events.Event, request_id: int
+) -> list[effects.Effect]:
+    """Give a submission to the leader, or give it up.
+
+    A remote leader is first asked to confirm that it leads. A submission that
+    never left this node can then be refused for certain.
+    """
+    pending = state.control.submissions.get(request_id)
+    if pending is None:
+        return []
+    if event.now_s - pending.asked_s >= GIVE_UP_S:
+        status = (
+            Status.UNCONFIRMED if pending.outstanding else Status.UNAVAILABLE
+        )
+        return _finish(state, _reply(state, request_id, status))
+    retry = effects.SetTimer(
+        timer=events.SubmitRetry(request_id=request_id), delay_s=RETRY_S
+    )
+    if event.now_s - pending.last_forward_s < FORWARD_TIMEOUT_S:
+        return [retry]
+    replica = state.control.replica
+    if replica is not None and replica.is_ready_leader:
+        pending.last_forward_s = event.now_s
+        pending.outstanding += 1
+        job = Job(
+            origin=state.settings.address,
+            request_id=request_id,
+            snapshot=pending.snapshot,
+        )
+        return [retry, *_enqueue(state, event, job)]
+    to = leader_of(state) or _some_voter(state, event)
+    if to is None or to.instance == state.settings.address.instance:
+        return [retry]
+    return [retry, effects.Send(to=to, message=messages.ColdRead())]
+
+
+def _some_voter(
+    state: node.Node, event: events.Event
+) -> address_lib.Address | None:
+    own = state.settings.address.instance
+    voters = distribution.known_voters(state)
+    others = [voter for voter in voters if voter.instance != own]
+    if not others:
+        return None
+    return entropy_lib.Entropy(bits=event.entropy).choice(others)
+
+
+def _enqueue(
+    state: node.Node, event: events.Event, job: Job
+) -> list[effects.Effect]:
+    replica = state.control.replica
+    leads = replica is not None and replica.is_ready_leader
+    if not leads or not replica_lib.is_in_touch(replica, event.now_s):
+        return _answer(state, event, job, Status.NOT_LEADER)
+    if len(state.control.queue) >= QUEUE_MAX:
+        return _answer(state, event, job, Status.BUSY)
+    state.control.queue.append(job)
+    return _propose_next(state, event)
+
+
+def _propose_next(
+    state: node.Node, event: events.Event
+) -> list[effects.Effect]:
+    """Propose the next submission that changes something, one at a time."""
+    result: list[effects.Effect] = []
+    control = state.control
+    replica = control.replica
+    while control.queue and control.proposing is None:
+        if replica is None or not replica.is_ready_leader:
+            return result + resign(state, event)
+        job = control.queue.popleft()
+        current = control.machine.catalog
+        if job.snapshot.version <= current.version:
+            result += _decide(state, event, job)
+            continue
+        delta = _delta(current, job.snapshot)
+        if delta is None:
+            result += _answer(state, event, job, Status.INVALID)
+            continue
+        control.proposing = job
+        result += replication.propose(
+            replica,
+            kind=records.EntryKind.COMMAND,
+            data=codec.encode(control_machine.AcceptVersion(delta=delta)),
+            token=job,
+            now_s=event.now_s,
+        )
+    return result
+
+
+def _delta(
+    current: catalog_lib.Catalog, snapshot: catalog_lib.Snapshot
+) -> catalog_lib.Delta | None:
+    try:
+        return current.delta_to(catalog_lib.from_snapshot(snapshot))
+    except errors.CatalogError:
+        return None
+
+
+def _decide(
+    state: node.Node, event: events.Event, job: Job
+) -> list[effects.Effect]:
+    """Answer a submission from what the group has accepted."""
+    machine = state.control.machine
+    version, digest = job.snapshot.version, job.snapshot.digest
+    if version > machine.catalog.version:
+        return _answer(state, event, job, Status.UNCONFIRMED)
+    if version == machine.catalog.version:
+        same = digest == machine.catalog.digest
+        status = Status.ACCEPTED if same else Status.CONFLICT
+        return _answer(state, event, job, status)
+    recent = machine.find_recent(version)
+    if recent is None:
+        return _answer(state, event, job, Status.NOT_INCREASING)
+    same = recent.digest == digest
+    status = Status.SUPERSEDED if same else Status.CONFLICT
+    return _answer(state, event, job, status)
+
+
+def _answer(
+    state: node.Node, event: events.Event, job: Job, status: Status
+) -> list[effects.Effect]:
+    reply = _reply(state, job.request_id, status)
+    if job.origin.instance == state.settings.address.instance:
+        return _answered(state, event, reply)
+    return [effects.Send(to=job.origin, message=reply)]
+
+
+def _answered(
+    state: node.Node, event: events.Event, reply: messages.SubmitReply
+) -> list[effects.Effect]:
+    pending = state.control.submissions.get(reply.request_id)
+    if pending is None:
+        return []
+    if reply.status is Status.NOT_LEADER:
+        state.control.leader = reply.leader
+        pending.outstanding = max(pending.outstanding - 1, 0)
+        pending.last_forward_s = float("-inf")
+        return []
+    if reply.status is Status.UNCONFIRMED:
+        pending.last_forward_s = float("-inf")
+        return []
+    return _finish(state, reply)
+
+
+def _finish(
+    state: node.Node, reply: messages.SubmitReply
+) -> list[effects.Effect]:
+    del state.control.submissions[reply.request_id]
+    result: list[effects.Effect] = [
+        effects.CancelTimer(
+            timer=events.SubmitRetry(request_id=reply.request_id)
+        ),
+        effects.Reply(request_id=reply.request_id, result=reply),
+    ]
+    if reply.status not in (Status.ACCEPTED, Status.SUPERSEDED):
+        fields = {"status": str(reply.status), "version": reply.version}
+        result.append(
+            effects.Log(code=logbook.Code.VERSION_REFUSED, fields=fields)
+        )
+    return result
+
+
+def _reply(
+    state: node.Node, request_id: int, status: Status
+) -> messages.SubmitReply:
+    known = max(state.control.machine.catalog.version, state.config.version)
+    return messages.SubmitReply(
+        request_id=request_id,
+        status=status,
+        version=known,
+        leader=leader_of(state),
+    )
--- /dev/null
+++ b/src/monsoonpass/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""I/O around the reducer: sockets, timers, disk, HTTP, logs and metrics."""
--- /dev/null
+++ b/src/monsoonpass/runtime/body.py
@@ -0,0 +1,91 @@
+"""Bodies in transit: bounded pipes and digests."""
+
+import collections
+import hashlib
+
+import anyio
+
+from monsoonpass import errors
+
+CHUNK_BYTES = 16 * 1024
+WINDOW_BYTES = 256 * 1024
+WHOLE_BYTES = 64 * 1024
+DIGEST_BYTES = 8
+
+
+def new_digest() -> "hashlib.blake2b":
+    """Return the hash that guards a body from end to end."""
+    return hashlib.blake2b(digest_size=DIGEST_BYTES)
+
+
+class Pipe:
+    """A body that arrives in chunks; the sender's credit bounds it."""
+
+    def __init__(self) -> None:
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._ended = False
+        self._error: errors.MonsoonpassError | None = None
+        self._wanted = anyio.Event()
+        self._queued_bytes = 0
+        self._room = anyio.Event()
+
+    def push(self, chunk: bytes, *, ended: bool) -> None:
+        """Add a chunk, or the end."""
+        if chunk:
+            self._chunks.append(chunk)
+            self._queued_bytes += len(chunk)
+        self._ended = self._ended or ended
+        self._wanted.set()
+
+    def fail(self, error: errors.MonsoonpassError) -> None:
+        """End the body with an error that the reader gets."""
+        self._error = error
+        self._wanted.set()
+
+    async def next(self) -> tuple[bytes, bool]:
+        """Return the next chunk, and whether the body ends with it.
+
+        Raises:
+            MonsoonpassError: The error that ended the body.
+        """
+        while True:
+            if self._error is not None:
+                raise self._error
+            if self._chunks:
+                chunk = self._chunks.popleft()
+                self._queued_bytes -= len(chunk)
+                self._room.set()
+                return chunk, self._ended and not self._chunks
+            if self._ended:
+                return b"", True
+            self._wanted = anyio.Event()
+            await self._wanted.wait()
+
+    async def wait_room(self) -> None:
+        """Wait until less than the window is queued."""
+        while self._queued_bytes >= WINDOW_BYTES:
+            self._room = anyio.Event()
+            await self._room.wait()
+
+
+class Credit:
+    """How many bytes may still be sent."""
+
+    def __init__(self, *, size_bytes: int):
+        self._size_bytes = size_bytes
+        self._wanted = anyio.Event()
+
+    def grant(self, size_bytes: int) -> None:
+        """Allow more bytes."""
+        self._size_bytes += size_bytes
+        self._wanted.set()
+
+    async def take(self, size_bytes: int) -> None:
+        """Wait until some credit is left, then spend bytes of it.
+
+        One chunk may overdraw, so a chunk longer than the window passes.
+        """
+        while self._size_bytes <= 0:
+            self._wanted = anyio.Event()
+            await self._wanted.wait()
+        self._size_bytes -= size_bytes
--- /dev/null
+++ b/src/monsoonpass/runtime/daemon.py
@@ -0,0 +1,229 @@
+"""One node: its reducer and all the I/O around it."""
+
+import pathlib
+import time
+
+import anyio
+import anyio.abc
+import hypercorn
+import hypercorn.asyncio
+
+from monsoonpass import errors
+from monsoonpass.border import journal as journal_lib
+from monsoonpass.border import settings as settings_lib
+from monsoonpass.core import call_messages
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import node
+from monsoonpass.runtime import disk
+from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import front
+from monsoonpass.runtime import link as link_lib
+from monsoonpass.runtime import logs
+from monsoonpass.runtime import mesh
+from monsoonpass.runtime import metrics
+from monsoonpass.runtime import operator_api
+from monsoonpass.runtime import owner
+from monsoonpass.runtime import peer_calls
+from monsoonpass.runtime import timers
+from monsoonpass.runtime import tracing
+from monsoonpass.runtime import upstream
+
+KEEP_ALIVE_S = 75.0
+KEEP_ALIVE_REQUESTS = 10**9
+CALL_NUMBER_BITS = 20
+STOP_GRACE_S = 2.0
+
+
+class Daemon:
+    """A node that can be run and stopped.
+
+    Attributes:
+        engine: The reducer's engine.
+        started: Set once every listener is bound.
+    """
+
+    def __init__(self, *, settings: settings_lib.Settings):
+        """Open the journal and connect all parts.
+
+        Args:
+            settings: Checked settings.
+
+        Raises:
+            DiskError: The data folder cannot be used.
+        """
+        self._settings = settings
+        core = settings.core_settings()
+        name = core.address.instance
+        self.engine = engine_lib.Engine(state=node.Node(settings=core))
+        self.started = anyio.Event()
+        self._stopped = anyio.Event()
+        self._http_stop = anyio.Event()
+        self._logger = logs.Logger(instance=name)
+        self._metrics = metrics.Metrics()
+        self._tracer = tracing.Tracer(
+            instance=name,
+            path=settings.telemetry.trace_file,
+            ratio=settings.telemetry.trace_ratio,
+        )
+        self._journal = self._open_journal()
+        self._connect_parts()
+
+    async def run(self) -> None:
+        """Serve until `stop` was called and no call is in progress."""
+        await self._mesh.open()
+        async with anyio.create_task_group() as group:
+            for task in (
+                self._timers.run,
+                self._disk.run,
+                self._mesh.run,
+                self._owner.run,
+                self._front.run,
+            ):
+                group.start_soon(task)
+            self._serve_http(group)
+            await anyio.lowlevel.checkpoint()
+            self._start()
+            self.started.set()
+            try:
+                await self._stopped.wait()
+            finally:
+                self._http_stop.set()
+                group.cancel_scope.cancel()
+        await self._owner.pool.close_idle()
+        self._tracer.close()
+        if self._journal is not None:
+            self._journal.close()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.engine.feed(events.StopRequested)
+
+    def _connect_parts(self) -> None:
+        settings = self._settings
+        engine = self.engine
+        self._timers = timers.Timers(engine=engine)
+        self._disk = disk.Disk(
+            engine=engine, journal=self._journal, metrics=self._metrics
+        )
+        self._mesh = mesh.Mesh(
+            engine=engine,
+            settings=settings,
+            logger=self._logger,
+            metrics=self._metrics,
+        )
+        pool = upstream.Pool(
+            host=settings.upstream.host, limit=settings.upstream.connections
+        )
+        self._owner = owner.Owner(engine=engine, pool=pool, tracer=self._tracer)
+        self._front = front.Front(
+            engine=engine,
+            mesh=self._mesh,
+            owner=self._owner,
+            logger=self._logger,
+            metrics=self._metrics,
+            tracer=self._tracer,
+            first_number=_wall_ms() << CALL_NUMBER_BITS,
+        )
+        self._peer_calls = peer_calls.PeerCalls(
+            engine=engine,
+            mesh=self._mesh,
+            owner=self._owner,
+            next_number=self._front.next_number,
+        )
+        token = settings.operators.token
+        self._api = operator_api.OperatorApi(
+            engine=engine,
+            metrics=self._metrics,
+            pool=pool,
+            token=token.get_secret_value() if token else None,
+        )
+        self._mesh.on_call_message(
+            self._receive_call_message,
+            self._front.link_opened,
+            self._front.link_gone,
+        )
+        engine.on(effects.Refuse, self._refuse)
+        engine.on(effects.Log, self._logger.perform)
+        engine.on(effects.Stopped, lambda _: self._stopped.set())
+
+    def _open_journal(self) -> journal_lib.Journal | None:
+        section = self._settings.disk
+        if section is None:
+            return None
+        name = self._settings.node.instance
+        try:
+            journal = journal_lib.Journal(folder=section.folder, instance=name)
+        except errors.JournalDamagedError as error:
+            journal = self._begin_anew(section.folder, error)
+        self._logger.write(
+            logbook.Code.JOURNAL_RECOVERED,
+            records=len(journal.records),
+            cut_bytes=journal.cut_bytes,
+        )
+        return journal
+
+    def _begin_anew(
+        self, folder: pathlib.Path, error: errors.JournalDamagedError
+    ) -> journal_lib.Journal:
+        """Set a damaged journal aside and rejoin with a new identity.
+
+        Raises:
+            JournalDamagedError: This is the only voter, so the journal is
+                the only copy of what was accepted.
+        """
+        name = self._settings.node.instance
+        if self._settings.control.bootstrap_voters == (name,):
+            raise error
+        moved = journal_lib.set_aside(folder)
+        self._logger.write(
+            logbook.Code.JOURNAL_DAMAGED, error=str(error), moved=str(moved)
+        )
+        return journal_lib.Journal(folder=folder, instance=name)
+
+    def _start(self) -> None:
+        self.engine.feed(
+            events.Started,
+            wall_ms=_wall_ms(),
+            journal=self._journal.records if self._journal else (),
+        )
+
+    def _serve_http(self, group: anyio.abc.TaskGroup) -> None:
+        listen = self._settings.listen
+        group.start_soon(self._serve, listen.callers, self._front.app)
+        group.start_soon(self._serve, listen.operators, self._api.app)
+
+    async def _serve(self, listen: settings_lib.HostPort, app: object) -> None:
+        config = hypercorn.Config()
+        host = f"[{listen.host}]" if ":" in listen.host else listen.host
+        config.bind = [f"{host}:{listen.port}"]
+        config.keep_alive_timeout = KEEP_ALIVE_S
+        config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+        config.graceful_timeout = STOP_GRACE_S
+        config.include_server_header = False
+        config.errorlog = None
+        config.accesslog = None
+        config.loglevel = "CRITICAL"
+        # Cancelling hypercorn from outside would cut its connections off.
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                app, config, shutdown_trigger=self._http_stop.wait
+            )
+
+    def _receive_call_message(
+        self, link: link_lib.Link, message: object
+    ) -> None:
+        if not self._peer_calls.receive_call_message(link, message):
+            self._front.receive_call_message(link, message)
+
+    def _refuse(self, effect: effects.Refuse) -> None:
+        if not self._front.refuse(effect):
+            self._peer_calls.refuse(effect)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+assert call_messages  # Imported for its registrations.
--- /dev/null
+++ b/src/monsoonpass/runtime/disk.py
@@ -0,0 +1,73 @@
+"""The disk task: writes and syncs the journal in groups."""
+
+import collections
+
+import anyio
+import anyio.to_thread
+
+from monsoonpass import errors
+from monsoonpass.border import journal as journal_lib
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import metrics as metrics_lib
+
+
+class Disk:
+    """Performs `WriteDisk`, with one sync for all writes that wait.
+
+    The sync runs in anyio's worker thread, as anyio's own file I/O does, so
+    that a slow disk does not stop the loop; decisions stay on the loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        journal: journal_lib.Journal | None,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._engine = engine
+        self._journal = journal
+        self._metrics = metrics
+        self._writes: collections.deque[effects.WriteDisk] = collections.deque()
+        self._wanted = anyio.Event()
+        engine.on(effects.WriteDisk, self._write)
+
+    async def run(self) -> None:
+        """Write until cancelled or until a write fails."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            while self._writes:
+                group = list(self._writes)
+                self._writes.clear()
+                started_s = engine_lib.now_s()
+                try:
+                    await anyio.to_thread.run_sync(self._write_group, group)
+                except errors.DiskError as error:
+                    self._engine.feed(events.DiskFailed, detail=str(error))
+                    return
+                self._metrics.disk_sync.observe(engine_lib.now_s() - started_s)
+                self._engine.feed(
+                    events.DiskSynced, sequence=group[-1].sequence
+                )
+
+    def _write(self, effect: effects.WriteDisk) -> None:
+        self._writes.append(effect)
+        self._wanted.set()
+
+    def _write_group(self, group: list[effects.WriteDisk]) -> None:
+        """Write a group and sync it; runs in a worker thread."""
+        if self._journal is None:
+            raise errors.DiskError("this node has no data folder")
+        unsynced = False
+        for write in group:
+            if write.replace:
+                self._journal.replace(write.records)
+                unsynced = False
+            else:
+                self._journal.append(write.records)
+                unsynced = True
+        if unsynced:
+            self._journal.sync()
--- /dev/null
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -0,0 +1,281 @@
+"""The operator endpoint: submit, status, metrics, health, announcements."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hmac
+import itertools
+import json
+from typing import Any
+
+import anyio
+import pydantic
+
+from monsoonpass import errors
+from monsoonpass.border import operator_models as models
+from monsoonpass.border import operator_text
+from monsoonpass.core import config_messages
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import survey
+from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import metrics as metrics_lib
+from monsoonpass.runtime import upstream
+
+BODY_MAX_BYTES = operator_text.TEXT_MAX_BYTES + 1024
+REPLY_TIMEOUT_S = 10.0
+REQUESTS_MAX = 256
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Status = config_messages.SubmitStatus
+
+STATUS_CODES = {
+    Status.ACCEPTED: 200,
+    Status.SUPERSEDED: 200,
+    Status.CONFLICT: 409,
+    Status.NOT_INCREASING: 409,
+    Status.INVALID: 422,
+    Status.BUSY: 429,
+    Status.UNAVAILABLE: 503,
+    Status.UNCONFIRMED: 504,
+}
+
+
+class Answer(Exception):  # noqa: N818
+    """A response to send; raised to leave a handler early."""
+
+    def __init__(
+        self,
+        status: int,
+        content: bytes,
+        content_type: bytes = b"application/json",
+    ):
+        super().__init__(status)
+        self.status = status
+        self.content = content
+        self.content_type = content_type
+
+
+class OperatorApi:
+    """Serves operators, monitoring and the own upstream's announcements."""
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        metrics: metrics_lib.Metrics,
+        pool: upstream.Pool,
+        token: str | None,
+    ):
+        self._engine = engine
+        self._metrics = metrics
+        self._pool = pool
+        self._token = token
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, tuple[anyio.Event, list[Any]]] = {}
+        self._handlers = {
+            ("POST", "/v1/config"): self._submit,
+            ("GET", "/v1/config"): self._config,
+            ("GET", "/v1/status"): self._status,
+            ("GET", "/v1/node"): self._node,
+            ("POST", "/v1/upstream"): self._announce,
+            ("DELETE", "/v1/upstream"): self._drain,
+            ("GET", "/metrics"): self._render_metrics,
+            ("GET", "/healthz"): self._healthz,
+            ("GET", "/readyz"): self._readyz,
+        }
+        engine.on(effects.Reply, self._replied)
+
+    async def app(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Serve one request (ASGI)."""
+        if scope["type"] != "http":
+            return
+        try:
+            answer = await self._handle(scope, receive)
+        except Answer as early:
+            answer = early
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status,
+                "headers": [
+                    (b"content-type", answer.content_type),
+                    (b"content-length", str(len(answer.content)).encode()),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": answer.content})
+
+    async def _handle(self, scope: dict[str, Any], receive: Receive) -> Answer:
+        handler = self._handlers.get((scope["method"], scope["path"]))
+        if handler is None:
+            raise _failure(404, "not-found", "no such endpoint")
+        body = await _read(receive)
+        return await handler(scope, body)
+
+    async def _submit(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_token(scope)
+        try:
+            catalog = operator_text.compile_text(body.decode("utf-8"))
+        except UnicodeDecodeError as error:
+            raise _failure(422, "invalid", "the text is not UTF-8") from error
+        except errors.TextError as error:
+            issues = [
+                {"place": issue.place, "message": issue.message}
+                for issue in error.issues
+            ]
+            content = json.dumps({"status": "invalid", "issues": issues})
+            raise Answer(422, content.encode()) from error
+        reply = await self._ask(
+            events.SubmitRequested, snapshot=catalog.snapshot()
+        )
+        result = models.SubmitResult(
+            status=str(reply.status), version=reply.version
+        )
+        return Answer(
+            STATUS_CODES[reply.status], result.model_dump_json().encode()
+        )
+
+    async def _config(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_token(scope)
+        view = models.ConfigView.of(self._engine.state.config.catalog)
+        return Answer(200, view.model_dump_json().encode())
+
+    async def _status(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_token(scope)
+        result = await self._ask(survey.SurveyRequested)
+        view = models.StatusView.of(result)
+        return Answer(200, view.model_dump_json().encode())
+
+    async def _node(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_token(scope)
+        state = self._engine.state
+        replica = state.control.replica
+        view = models.NodeView(
+            instance=state.settings.address.instance,
+            data_centre=state.settings.data_centre,
+            region=state.settings.region,
+            version=state.config.version,
+            ready=state.config.ready,
+            stopping=state.stopping,
+            role=replica.role.value if replica else "none",
+            members=[
+                models.MemberView(
+                    instance=member.instance,
+                    state=member.state.name.lower(),
+                    service=member.service,
+                    slots=member.slots,
+                    upstream=member.upstream.name.lower(),
+                )
+                for member in state.membership.table.present()
+            ],
+        )
+        return Answer(200, view.model_dump_json().encode())
+
+    async def _announce(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_local(scope)
+        try:
+            announcement = models.Announcement.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            raise _failure(422, "invalid", str(error)) from error
+        if self._pool.port not in (0, announcement.port):
+            await self._pool.close_idle()
+        self._pool.port = announcement.port
+        self._engine.feed(
+            events.UpstreamAnnounced,
+            service=announcement.service,
+            slots=announcement.slots,
+            cold=announcement.cold,
+        )
+        return Answer(200, b'{"status": "announced"}')
+
+    async def _drain(self, scope: dict[str, Any], body: bytes) -> Answer:
+        self._check_local(scope)
+        self._engine.feed(events.UpstreamDraining)
+        in_progress = len(self._engine.state.admission.in_progress)
+        content = {"status": "draining", "in_progress": in_progress}
+        return Answer(200, json.dumps(content).encode())
+
+    async def _render_metrics(
+        self, scope: dict[str, Any], body: bytes
+    ) -> Answer:
+        state = self._engine.state
+        self._metrics.slots.set(state.admission.slots)
+        self._metrics.slots_used.set(len(state.admission.in_progress))
+        self._metrics.queued.set(state.admission.queued)
+        self._metrics.version.set(state.config.version)
+        self._metrics.members.set(state.membership.table.present_count)
+        return Answer(
+            200,
+            self._metrics.render(),
+            b"text/plain; version=0.0.4; charset=utf-8",
+        )
+
+    async def _healthz(self, scope: dict[str, Any], body: bytes) -> Answer:
+        if self._engine.state.disk_failed:
+            raise _failure(503, "disk-failed", "a journal write failed")
+        return Answer(200, b'{"status": "ok"}')
+
+    async def _readyz(self, scope: dict[str, Any], body: bytes) -> Answer:
+        state = self._engine.state
+        if state.stopping or not state.config.ready:
+            raise _failure(503, "not-ready", "no configuration in force")
+        return Answer(200, b'{"status": "ready"}')
+
+    async def _ask(self, make: Any, **fields: Any) -> Any:
+        """Feed a request and wait for its reply."""
+        if len(self._waiting) >= REQUESTS_MAX:
+            raise _failure(429, "busy", "too many requests wait")
+        request_id = next(self._numbers)
+        ready = anyio.Event()
+        replies: list[Any] = []
+        self._waiting[request_id] = (ready, replies)
+        try:
+            self._engine.feed(make, request_id=request_id, **fields)
+            with anyio.move_on_after(REPLY_TIMEOUT_S):
+                await ready.wait()
+        finally:
+            del self._waiting[request_id]
+        if not replies:
+            raise _failure(504, "unconfirmed", "no answer in time")
+        return replies[0]
+
+    def _replied(self, effect: effects.Reply) -> None:
+        waiting = self._waiting.get(effect.request_id)
+        if waiting is not None:
+            waiting[1].append(effect.result)
+            waiting[0].set()
+
+    def _check_token(self, scope: dict[str, Any]) -> None:
+        if self._token is None:
+            return
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        expected = f"Bearer {self._token}".encode()
+        if not hmac.compare_digest(given, expected):
+            raise _failure(401, "unauthorized", "a token is needed")
+
+    def _check_local(self, scope: dict[str, Any]) -> None:
+        """Let only the own instance speak for its upstream."""
+        client = scope.get("client")
+        if client is None or client[0] not in ("127.0.0.1", "::1"):
+            raise _failure(403, "forbidden", "only from this instance")
+
+
+def _failure(status: int, code: str, message: str) -> Answer:
+    content = json.dumps({"status": code, "message": message})
+    return Answer(status, content.encode())
+
+
+async def _read(receive: Receive) -> bytes:
+    body = bytearray()
+    while True:
+        event = await receive()
+        if event["type"] != "http.request":
+            raise _failure(400, "gone", "the client is gone")
+        body += event.get("body", b"")
+        if len(body) > BODY_MAX_BYTES:
+            raise _failure(413, "too-large", "the body is too long")
+        if not event.get("more_body", False):
+            return bytes(body)
--- /dev/null
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -0,0 +1,191 @@
+"""Calls that peers forward to this node's own upstream."""
+
+from typing import Any
+
+from monsoonpass.core import call_messages as messages
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import outcome
+from monsoonpass.runtime import body as body_lib
+from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import link as link_lib
+from monsoonpass.runtime import mesh as mesh_lib
+from monsoonpass.runtime import owner as owner_lib
+
+
+class RemoteSink:
+    """Sends the own upstream's answer to the entry node of the call."""
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        mesh: mesh_lib.Mesh,
+        link: link_lib.Link,
+        call: int,
+    ):
+        self._engine = engine
+        self._mesh = mesh
+        self._link = link
+        self._call = call
+        self.credit = body_lib.Credit(size_bytes=body_lib.WINDOW_BYTES)
+
+    def request_credit(self, size_bytes: int) -> None:
+        """Let the entry node send more of the request's body."""
+        message = messages.CallCredit(call=self._call, size_bytes=size_bytes)
+        self._mesh.send_on(self._link, message)
+
+    async def whole(
+        self, status: int, headers: Any, body: bytes, digest: bytes
+    ) -> None:
+        """Send a whole answer in one message."""
+        message = messages.AnswerHead(
+            call=self._call,
+            status=status,
+            headers=headers,
+            load=self._load(),
+            body=body,
+            ended=True,
+            digest=digest,
+        )
+        self._mesh.send_on(
+            self._link, message, bulk=len(body) > body_lib.CHUNK_BYTES
+        )
+
+    async def head(self, status: int, headers: Any, body: bytes) -> None:
+        """Send the head of an answer whose body follows."""
+        await self.credit.take(len(body))
+        message = messages.AnswerHead(
+            call=self._call,
+            status=status,
+            headers=headers,
+            load=self._load(),
+            body=body,
+            ended=False,
+            digest=b"",
+        )
+        self._mesh.send_on(self._link, message, bulk=True)
+
+    async def chunk(self, body: bytes) -> None:
+        """Send a chunk once the entry node has given credit."""
+        await self.credit.take(len(body))
+        message = messages.AnswerBody(
+            call=self._call, body=body, ended=False, digest=b""
+        )
+        self._mesh.send_on(self._link, message, bulk=True)
+
+    async def end(self, digest: bytes) -> None:
+        """End the answer with the digest of its body."""
+        message = messages.AnswerBody(
+            call=self._call, body=b"", ended=True, digest=digest
+        )
+        self._mesh.send_on(self._link, message, bulk=True)
+
+    def fail(self, failure: outcome.Failure) -> None:
+        """End the call without a whole answer."""
+        message = messages.AnswerFailed(
+            call=self._call, failure=failure, load=self._load()
+        )
+        self._mesh.send_on(self._link, message)
+
+    def _load(self) -> outcome.Load:
+        return self._engine.state.admission.load()
+
+
+class PeerCalls:
+    """Takes forwarded calls and hands them to the owner."""
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        mesh: mesh_lib.Mesh,
+        owner: owner_lib.Owner,
+        next_number: Any,
+    ):
+        self._engine = engine
+        self._mesh = mesh
+        self._owner = owner
+        self._next_number = next_number
+        self._work_ids: dict[tuple[str, int], int] = {}
+
+    def receive_call_message(self, link: link_lib.Link, message: Any) -> bool:
+        """Take an entry node's message about a call.
+
+        Args:
+            link: The link it came on.
+            message: A message of `call_messages`.
+
+        Returns:
+            Whether it was for the owner's side.
+        """
+        if isinstance(message, messages.CallOpen):
+            self._open(link, message)
+            return True
+        if not isinstance(
+            message,
+            messages.CallBody | messages.AnswerCredit | messages.CallCancel,
+        ):
+            return False
+        work_id = self._work_ids.get((link.peer.instance, message.call), 0)
+        work = self._owner.works.get(work_id)
+        if work is None:
+            return True
+        if isinstance(message, messages.CallBody):
+            work.pipe.push(message.body, ended=message.ended)
+        elif isinstance(message, messages.AnswerCredit):
+            work.sink.credit.grant(message.size_bytes)
+        else:
+            self._engine.feed(events.PeerCallCancelled, work_id=work_id)
+        return True
+
+    def refuse(self, effect: effects.Refuse) -> None:
+        """Tell the entry node that its call is refused."""
+        work = self._owner.works.pop(effect.call_id, None)
+        if work is not None:
+            work.sink.fail(effect.failure)
+
+    def forget_finished(self) -> None:
+        """Drop the numbers of calls that have ended."""
+        works = self._owner.works
+        self._work_ids = {
+            key: work_id
+            for key, work_id in self._work_ids.items()
+            if work_id in works
+        }
+
+    def _open(self, link: link_lib.Link, message: messages.CallOpen) -> None:
+        key = (link.peer.instance, message.call)
+        if key in self._work_ids:
+            return
+        if len(self._work_ids) > 2 * len(self._owner.works) + 1024:
+            self.forget_finished()
+        work_id = self._next_number()
+        self._work_ids[key] = work_id
+        sink = RemoteSink(
+            engine=self._engine,
+            mesh=self._mesh,
+            link=link,
+            call=message.call,
+        )
+        self._owner.works[work_id] = owner_lib.Work(
+            work_id=work_id,
+            method=message.method,
+            target=message.target,
+            headers=message.headers,
+            first=message.body,
+            ended=message.ended,
+            pipe=body_lib.Pipe(),
+            sink=sink,
+            traceparent=message.traceparent,
+        )
+        self._engine.feed(
+            events.PeerCallArrived,
+            work_id=work_id,
+            sender=link.peer.instance,
+            service=message.service,
+            timeout_s=message.timeout_s,
+            priority=message.priority,
+            bulk=message.bulk,
+            route=message.route,
+        )
--- /dev/null
+++ b/src/monsoonpass/runtime/upstream.py
@@ -0,0 +1,264 @@
+"""HTTP/1.1 to the own upstream, by h11 on pooled anyio streams."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import select
+
+import anyio
+import anyio.abc
+import h11
+
+from monsoonpass import errors
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_MAX_S = 4.0
+RECEIVE_BYTES = 64 * 1024
+HEAD_MAX_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Head:
+    """The head of an upstream's answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Connection:
+    """One connection to the upstream.
+
+    Attributes:
+        idle_since_s: When its last exchange ended.
+    """
+
+    def __init__(self, *, stream: anyio.abc.SocketStream):
+        self._stream = stream
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES
+        )
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._poll = select.poll()
+        self._poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
+        self.idle_since_s = 0.0
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return self._h11.our_state is h11.IDLE
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the upstream has closed it or sent something unasked."""
+        return bool(self._poll.poll(0))
+
+    async def send_head(
+        self,
+        method: str,
+        target: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes = b"",
+        *,
+        ended: bool = False,
+    ) -> None:
+        """Send the request's head, with the first or all of its body.
+
+        Raises:
+            UpstreamBrokenError: The upstream closed the connection, or the
+                request is not valid HTTP.
+        """
+        try:
+            request = h11.Request(
+                method=method, target=target, headers=list(headers)
+            )
+            data = self._h11.send(request)
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+            if ended:
+                data += self._h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise errors.UpstreamBrokenError(str(error)) from error
+        await self._send(data)
+
+    async def send_body(self, body: bytes, *, ended: bool) -> None:
+        """Send more of the body.
+
+        Raises:
+            UpstreamBrokenError: The upstream closed the connection, or the
+                body does not fit its declared length.
+        """
+        try:
+            data = self._h11.send(h11.Data(data=body)) if body else b""
+            if ended:
+                data += self._h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise errors.UpstreamBrokenError(str(error)) from error
+        if data:
+            await self._send(data)
+
+    async def receive_head(self) -> Head:
+        """Receive the answer's head, skipping informational ones.
+
+        Raises:
+            UpstreamBrokenError: The answer broke off or is malformed.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return Head(
+                    status=event.status_code, headers=tuple(event.headers)
+                )
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.UpstreamBrokenError("the answer has no head")
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """Yield the answer's body; ending without an error means whole.
+
+        Raises:
+            UpstreamBrokenError: The answer broke off or is malformed.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise errors.UpstreamBrokenError("the answer broke off")
+
+    def try_receive_all(self, limit_bytes: int) -> tuple[bytes, bool]:
+        """Return the body as far as it has already been received.
+
+        Args:
+            limit_bytes: Stop after this many bytes.
+
+        Returns:
+            The bytes, and whether the body has ended.
+
+        Raises:
+            UpstreamBrokenError: The answer is malformed.
+        """
+        parts = []
+        size_bytes = 0
+        while size_bytes < limit_bytes:
+            event = self._parse()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size_bytes += len(parts[-1])
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts), True
+            else:
+                break
+        return b"".join(parts), False
+
+    def finish(self, now_s: float) -> None:
+        """Make the connection ready for another request if HTTP allows."""
+        if self._h11.states == {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            self._h11.start_next_cycle()
+        self.idle_since_s = now_s
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        await anyio.aclose_forcefully(self._stream)
+
+    def _parse(self) -> object:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise errors.UpstreamBrokenError(str(error)) from error
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._parse()
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            except (anyio.BrokenResourceError, OSError) as error:
+                raise errors.UpstreamBrokenError(
+                    "the connection broke"
+                ) from error
+            try:
+                self._h11.receive_data(data)
+            except RuntimeError as error:
+                raise errors.UpstreamBrokenError(str(error)) from error
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, OSError) as error:
+            raise errors.UpstreamBrokenError(
+                "the upstream closed the connection"
+            ) from error
+
+
+class Pool:
+    """The connections to the own upstream, at most a fixed number.
+
+    Attributes:
+        host: IP number of the upstream.
+        port: Its port; set when it announces itself.
+    """
+
+    def __init__(self, *, host: str, limit: int):
+        self.host = host
+        self.port = 0
+        self._idle: list[Connection] = []
+        self._limit = anyio.Semaphore(limit)
+
+    async def acquire(self, now_s: float) -> Connection:
+        """Return a connection that no other exchange uses.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            A connection; give it back with `release`.
+
+        Raises:
+            UpstreamConnectError: None could be opened.
+        """
+        await self._limit.acquire()
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                age_s = now_s - connection.idle_since_s
+                if age_s < IDLE_MAX_S and not connection.is_stale:
+                    return connection
+                await connection.aclose()
+            return await self._open()
+        except BaseException:
+            self._limit.release()
+            raise
+
+    async def release(
+        self, connection: Connection, now_s: float, *, reuse: bool
+    ) -> None:
+        """Give a connection back, or close it if it cannot be reused."""
+        connection.finish(now_s)
+        try:
+            if reuse and connection.is_reusable:
+                self._idle.append(connection)
+            else:
+                await connection.aclose()
+        finally:
+            self._limit.release()
+
+    async def close_idle(self) -> None:
+        """Close all connections that no exchange uses."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _open(self) -> Connection:
+        if not self.port:
+            raise errors.UpstreamConnectError("no upstream is announced")
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(self.host, self.port)
+        except (OSError, TimeoutError) as error:
+            raise errors.UpstreamConnectError(str(error)) from error
+        return Connection(stream=stream)
