--- /dev/null
+++ b/src/monsoonpass/cli/client.py
@@ -0,0 +1,117 @@
+"""A client of the operator endpoint, by httpx."""
+
+import dataclasses
+from typing import Any
+
+import httpx
+import pydantic
+
+from monsoonpass import errors
+from monsoonpass.border import operator_models as models
+
+TIMEOUT_S = 12.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Submitted:
+    """The answer to a submission.
+
+    Attributes:
+        status: One of the words of `SubmitStatus`, or "unauthorized".
+        version: Version accepted last, as far as the node knows.
+        issues: Faults of the text, each as "place: message".
+    """
+
+    status: str
+    version: int = 0
+    issues: tuple[str, ...] = ()
+
+
+class Client:
+    """Talks to one node's operator endpoint."""
+
+    def __init__(self, *, node: str, token: str = ""):
+        """Prepare a client.
+
+        Args:
+            node: Address such as "127.0.0.1:8081".
+            token: Operators' token, or empty.
+        """
+        headers = {"authorization": f"Bearer {token}"} if token else {}
+        self._http = httpx.Client(
+            base_url=f"http://{node}", headers=headers, timeout=TIMEOUT_S
+        )
+
+    def __enter__(self) -> "Client":
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        self._http.close()
+
+    def submit(self, text: str) -> Submitted:
+        """Submit an operator text.
+
+        Args:
+            text: The YAML text.
+
+        Returns:
+            What became of it.
+
+        Raises:
+            OperatorApiError: The node could not be reached at all.
+        """
+        try:
+            response = self._http.post("/v1/config", content=text.encode())
+        except httpx.ConnectError as error:
+            raise errors.OperatorApiError(f"no connection: {error}") from error
+        except httpx.HTTPError:
+            return Submitted(status="unconfirmed")
+        body = _json(response)
+        if "issues" in body:
+            issues = tuple(
+                f"{item['place']}: {item['message']}" for item in body["issues"]
+            )
+            return Submitted(status="invalid", issues=issues)
+        return Submitted(
+            status=body.get("status", "unconfirmed"),
+            version=body.get("version", 0),
+        )
+
+    def status(self) -> models.StatusView:
+        """Ask which versions are in force where.
+
+        Raises:
+            OperatorApiError: The node did not answer as expected.
+        """
+        return self._get("/v1/status", models.StatusView)
+
+    def config(self) -> models.ConfigView:
+        """Ask for the configuration in force at the node.
+
+        Raises:
+            OperatorApiError: The node did not answer as expected.
+        """
+        return self._get("/v1/config", models.ConfigView)
+
+    def _get(self, path: str, model: type[pydantic.BaseModel]) -> Any:
+        try:
+            response = self._http.get(path)
+        except httpx.HTTPError as error:
+            raise errors.OperatorApiError(str(error) or repr(error)) from error
+        if response.status_code != 200:
+            message = _json(response).get("message", response.text)
+            raise errors.OperatorApiError(str(message))
+        try:
+            return model.model_validate_json(response.content)
+        except pydantic.ValidationError as error:
+            raise errors.OperatorApiError(f"unexpected answer: {error}") from (
+                error
+            )
+
+
+def _json(response: httpx.Response) -> dict[str, Any]:
+    try:
+        body = response.json()
+    except ValueError:
+        return {}
+    return body if isinstance(body, dict) else {}
--- a/src/monsoonpass/core/calls.py
+++ b/src/monsoonpass/core/calls.py
@@ -24,7 +24,7 @@
 ATTEMPTS_MAX = 4
 RETRY_AFTER_S = 1.0
 HOP_MARGIN_S = 0.005
-PARK_S = 1.0
+PARK_S = 0.5
 HEDGE_MIN_S = 0.005
 HEDGE_MIN_SAMPLES = 50
 HEDGE_FACTOR = 1.5
@@ -333,12 +333,24 @@
     return result + _watch_queue(state, event)
 
 
+@step.expire.register
+def _(
+    timer: events.ParkTimeout, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return unparked(state, event, timer.service)
+
+
 def unparked(
     state: node.Node, event: events.Event, service: str
 ) -> list[effects.Effect]:
     """Try the calls that waited for a service's remote endpoints."""
-    result: list[effects.Effect] = []
-    for call_id in state.routing.parked.pop(service, []):
+    parked = state.routing.parked.pop(service, [])
+    if not parked:
+        return []
+    result: list[effects.Effect] = [
+        effects.CancelTimer(timer=events.ParkTimeout(service=service))
+    ]
+    for call_id in parked:
         call = state.calls.get(call_id)
         if call is not None and not call.attempts:
             failure = _not_run(Reason.NO_UPSTREAM, RETRY_AFTER_S)
@@ -374,11 +386,15 @@
     choice = routing.choose(state, event, call.service, call.tried)
     if choice is not None:
         return _send(state, event, call, choice)
-    if may_park and not call.tried and state.directory.contacts:
-        parked = state.routing.parked.setdefault(call.service, [])
-        parked.append(call.call_id)
-        return directory.ask(state, event, call.service)
-    return _refuse(state, call.call_id, failure)
+    informed = directory.is_informed(state, event, call.service)
+    if not may_park or call.tried or informed:
+        return _refuse(state, call.call_id, failure)
+    state.routing.parked.setdefault(call.service, []).append(call.call_id)
+    timer = events.ParkTimeout(service=call.service)
+    return [
+        effects.SetTimer(timer=timer, delay_s=PARK_S),
+        *directory.ask(state, event, call.service),
+    ]
 
 
 def _send(
--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/control.py
@@ -360,10 +360,10 @@
     replica = control.replica
     base = records.LogSnapshot(index=0, term=0, members=members, data=b"")
     write = state.disk.write([control.identity, base])
-    return [
-        write,
-        *election.start(replica, now_s=event.now_s, entropy=event.entropy),
-    ]
+    started = election.start(
+        replica, now_s=event.now_s, entropy=event.entropy, fresh=True
+    )
+    return [write, *started]
 
 
 def _upkeep(state: node.Node, event: events.Event) -> list[effects.Effect]:
--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/directory.py
@@ -115,6 +115,16 @@
     return any(relay.instance == own for relay in relays(state, salt))
 
 
+def is_informed(state: node.Node, event: events.Event, service: str) -> bool:
+    """Return whether every other data centre told its endpoints lately."""
+    places = state.directory.endpoints.get(service, {})
+    for data_centre in state.directory.contacts:
+        told = places.get(data_centre)
+        if told is None or event.now_s - told.told_s > 2 * ENDPOINTS_FRESH_S:
+            return False
+    return True
+
+
 def want(
     state: node.Node, event: events.Event, service: str
 ) -> list[effects.Effect]:
--- a/src/monsoonpass/core/election.py
+++ b/src/monsoonpass/core/election.py
@@ -9,24 +9,32 @@
 
 
 def start(
-    replica: replica_lib.Replica, *, now_s: float, entropy: int
+    replica: replica_lib.Replica,
+    *,
+    now_s: float,
+    entropy: int,
+    fresh: bool = False,
 ) -> list[effects.Effect]:
-    """Start a replica after its records were recovered.
+    """Start a replica.
 
-    A restarted replica may have promised its vote to a leader just before,
-    so it first waits as if it had heard from one.
+    A restarted replica may have heard from a leader just before, so it first
+    waits as if it had. One that has just entered its first group has not.
 
     Args:
         replica: The replica; its term, vote and log are set.
         now_s: Time of the event.
         entropy: Random bits.
+        fresh: Whether its disk never belonged to a group before.
 
     Returns:
         Effects, among them the first election timer.
     """
-    replica.leader_heard_s = now_s
+    if not fresh:
+        replica.leader_heard_s = now_s
     if replica.members.voters == (replica.replica_id,):
         return _campaign(replica, pre=False, now_s=now_s, entropy=entropy)
+    if fresh and replica.is_voter:
+        return _campaign(replica, pre=True, now_s=now_s, entropy=entropy)
     return [group.election_timer(entropy)]
 
 
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -107,6 +107,13 @@
     call_id: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ParkTimeout(Timer):
+    """Calls have waited long enough for a service's remote endpoints."""
+
+    service: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class QueueDeadline(Timer):
     """The earliest deadline in the admission queue has come."""
--- a/src/monsoonpass/core/replication.py
+++ b/src/monsoonpass/core/replication.py
@@ -28,7 +28,11 @@
 def become_leader(
     replica: replica_lib.Replica, now_s: float
 ) -> list[effects.Effect]:
-    """Take office: commit an empty entry of the new term first."""
+    """Take office: commit an entry of the new term first.
+
+    The first leader of a group commits the founding members, which the other
+    founders do not know yet; any later one commits an empty entry.
+    """
     replica.role = replica_lib.Role.LEADER
     replica.leader_id = replica.replica_id
     replica.leading_since_s = now_s
@@ -40,10 +44,11 @@
         effects.CancelTimer(timer=events.Election()),
         effects.SetTimer(timer=events.Heartbeat(), delay_s=HEARTBEAT_S),
     ]
+    founding = replica.log.last_index == 0
     return result + propose(
         replica,
-        kind=records.EntryKind.NOOP,
-        data=b"",
+        kind=records.EntryKind.MEMBERS if founding else records.EntryKind.NOOP,
+        data=codec.encode(replica.members) if founding else b"",
         token=None,
         now_s=now_s,
     )
--- /dev/null
+++ b/tools/check_imports.py
@@ -0,0 +1,50 @@
+"""Checks that modules are imported, not names (typing and collections.abc).
+
+Usage: python tools/check_imports.py FOLDER...
+"""
+
+import ast
+import importlib.util
+import pathlib
+import sys
+
+ALLOWED = ("typing", "collections.abc", "__future__")
+
+
+def find_faults(path: pathlib.Path) -> list[str]:
+    """Return one line for each import of a name in a file."""
+    faults = []
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    for statement in ast.walk(tree):
+        if not isinstance(statement, ast.ImportFrom):
+            continue
+        if statement.module in ALLOWED:
+            continue
+        for alias in statement.names:
+            if not _is_module(f"{statement.module}.{alias.name}"):
+                faults.append(
+                    f"{path}:{statement.lineno}: {alias.name} is not a module"
+                )
+    return faults
+
+
+def _is_module(name: str) -> bool:
+    try:
+        return importlib.util.find_spec(name) is not None
+    except ModuleNotFoundError:
+        return False
+
+
+def main(folders: list[str]) -> int:
+    """Check all Python files below some folders."""
+    faults = []
+    for folder in folders:
+        for path in sorted(pathlib.Path(folder).rglob("*.py")):
+            faults += find_faults(path)
+    for fault in faults:
+        print(fault)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
