--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/control.py
@@ -104,6 +104,7 @@
 @step.step.register
 def _(event: events.DiskSynced, state: node.Node) -> list[effects.Effect]:
     result = state.disk.release(event.sequence)
+    result += distribution.synced(state, event)
     replica = state.control.replica
     if replica is None:
         return result
@@ -395,7 +396,7 @@
 
 def _wants_to_join(state: node.Node, event: events.Event) -> bool:
     replica = state.control.replica
-    if replica is None:
+    if replica is None or replica.members.find(replica.replica_id) is None:
         return True
     return event.now_s - replica.leader_heard_s > JOIN_AFTER_S
 
--- a/src/monsoonpass/core/distribution.py
+++ b/src/monsoonpass/core/distribution.py
@@ -64,9 +64,10 @@
 
 def checkpoint(state: node.Node) -> list[messages.InForceRecord]:
     """Return the records that keep the version in force."""
-    if not state.config.version:
+    newest = state.config.newest
+    if not newest.version:
         return []
-    return [messages.InForceRecord(snapshot=state.config.catalog.snapshot())]
+    return [messages.InForceRecord(snapshot=newest.snapshot())]
 
 
 def accepted(
@@ -76,15 +77,13 @@
 
     The leader also pushes it to every data centre.
     """
-    if delta.version <= state.config.version:
+    if delta.version <= state.config.newest.version:
         return []
     result: list[effects.Effect] = []
-    if delta.base_version == state.config.version:
+    if delta.base_version == state.config.newest.version:
         result += _apply(state, event, delta)
     else:
-        catalog = state.control.machine.catalog
-        if catalog.version > state.config.version:
-            result += _bring_into_force(state, event, catalog, None)
+        result += _take(state, event, state.control.machine.catalog, None)
     replica = state.control.replica
     if replica is not None and replica.is_leader:
         for data_centre in _data_centres(state):
@@ -94,10 +93,17 @@
 
 def restored(state: node.Node, event: events.Event) -> list[effects.Effect]:
     """Bring the version of a restored state machine into force."""
-    catalog = state.control.machine.catalog
-    if catalog.version <= state.config.version:
-        return []
-    return _bring_into_force(state, event, catalog, None)
+    return _take(state, event, state.control.machine.catalog, None)
+
+
+def synced(state: node.Node, event: events.DiskSynced) -> list[effects.Effect]:
+    """Bring staged versions into force whose records are now durable."""
+    result: list[effects.Effect] = []
+    staged = state.config.staged
+    while staged and staged[0].sequence <= event.sequence:
+        item = staged.popleft()
+        result += _bring_into_force(state, event, item.catalog, item.delta)
+    return result
 
 
 def heard_version(
@@ -105,7 +111,7 @@
 ) -> list[effects.Effect]:
     """Fetch from a peer that has a newer version, one fetch at a time."""
     config = state.config
-    if version <= config.version or not config.ready:
+    if version <= config.newest.version or not config.ready:
         return []
     if config.fetching and config.fetch_version >= version:
         return []
@@ -126,16 +132,14 @@
             data_centre=state.settings.data_centre, version=delta.version
         )
         result.append(effects.Send(to=event.sender, message=ack))
-    if delta.version <= config.version:
+    if delta.version <= config.newest.version:
         return result
     for child in children(state, message.root, delta.version):
         result.append(effects.Send(to=child, message=message))
     if not config.ready:
         return result
-    if (delta.base_version, delta.base_digest) == (
-        config.catalog.version,
-        config.catalog.digest,
-    ):
+    base = (config.newest.version, config.newest.digest)
+    if (delta.base_version, delta.base_digest) == base:
         return result + _apply(state, event, delta)
     return result + heard_version(state, event, delta.version)
 
@@ -193,9 +197,10 @@
         return result
     try:
         if message.snapshot is not None:
-            result += _take_snapshot(state, event, message.snapshot)
+            catalog = catalog_lib.from_snapshot(message.snapshot)
+            result += _take(state, event, catalog, None)
         for delta in message.deltas:
-            if delta.base_version == config.version:
+            if delta.base_version == config.newest.version:
                 result += _apply(state, event, delta)
     except errors.CatalogError as error:
         result.append(_rejected(event, error))
@@ -225,7 +230,7 @@
         config.ready = True
     if config.ready:
         result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
-    if message.version > config.version:
+    if message.version > config.newest.version:
         result += _fetch(state, event.sender, message.version)
     return result
 
@@ -275,19 +280,37 @@
     state: node.Node, event: events.Event, delta: catalog_lib.Delta
 ) -> list[effects.Effect]:
     try:
-        catalog = state.config.catalog.apply(delta)
+        catalog = state.config.newest.apply(delta)
     except errors.CatalogError as error:
         return [_rejected(event, error)]
-    return _bring_into_force(state, event, catalog, delta)
+    return _take(state, event, catalog, delta)
 
 
-def _take_snapshot(
-    state: node.Node, event: events.Event, snapshot: catalog_lib.Snapshot
+def _take(
+    state: node.Node,
+    event: events.Event,
+    catalog: catalog_lib.Catalog,
+    delta: catalog_lib.Delta | None,
 ) -> list[effects.Effect]:
-    if snapshot.version <= state.config.version:
+    """Bring a newer version into force, with a disk once it is durable.
+
+    A node that ran a version and forgot it in a crash would come back with an
+    older one, so the record comes first.
+    """
+    if catalog.version <= state.config.newest.version:
         return []
-    catalog = catalog_lib.from_snapshot(snapshot)
-    return _bring_into_force(state, event, catalog, None)
+    if not state.settings.has_disk:
+        return _bring_into_force(state, event, catalog, delta)
+    record: messages.InForceRecord | messages.InForceDelta
+    if delta is None:
+        record = messages.InForceRecord(snapshot=catalog.snapshot())
+    else:
+        record = messages.InForceDelta(delta=delta)
+    write = state.disk.write([record])
+    state.config.staged.append(
+        node.Staged(sequence=write.sequence, catalog=catalog, delta=delta)
+    )
+    return [write]
 
 
 def _bring_into_force(
@@ -296,39 +319,23 @@
     catalog: catalog_lib.Catalog,
     delta: catalog_lib.Delta | None,
 ) -> list[effects.Effect]:
-    """Replace the configuration in force, never by an older one."""
+    """Replace the configuration in force."""
     config = state.config
-    if catalog.version <= config.version:
-        return []
     config.catalog = catalog
     config.in_force_since_s = event.now_s
     config.ready = True
-    config.fetching = ""
     if delta is None:
         config.history.clear()
     else:
         config.history.append(delta)
         if len(config.history) > HISTORY_MAX:
             config.history.popleft()
-    log = effects.Log(
-        code=logbook.Code.VERSION_IN_FORCE, fields={"version": catalog.version}
-    )
-    return [*_persist(state, catalog, delta), log]
-
-
-def _persist(
-    state: node.Node,
-    catalog: catalog_lib.Catalog,
-    delta: catalog_lib.Delta | None,
-) -> list[effects.Effect]:
-    if not state.settings.has_disk or state.disk_failed:
-        return []
-    record: messages.InForceRecord | messages.InForceDelta
-    if delta is None:
-        record = messages.InForceRecord(snapshot=catalog.snapshot())
-    else:
-        record = messages.InForceDelta(delta=delta)
-    return [state.disk.write([record])]
+    return [
+        effects.Log(
+            code=logbook.Code.VERSION_IN_FORCE,
+            fields={"version": catalog.version},
+        )
+    ]
 
 
 def _newer_than(
@@ -372,7 +379,8 @@
     config = state.config
     config.fetching = to.instance
     config.fetch_version = max(version, config.fetch_version)
-    fetch = messages.Fetch(version=config.version, digest=config.catalog.digest)
+    newest = config.newest
+    fetch = messages.Fetch(version=newest.version, digest=newest.digest)
     return [
         effects.Send(to=to, message=fetch),
         effects.SetTimer(timer=events.FetchRetry(), delay_s=FETCH_TIMEOUT_S),
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -94,12 +94,28 @@
     partitioned: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Staged:
+    """A configuration whose record is being written.
+
+    Attributes:
+        sequence: Number of the write.
+        catalog: The configuration.
+        delta: The change it came from, or None for a snapshot.
+    """
+
+    sequence: int
+    catalog: catalog_lib.Catalog
+    delta: catalog_lib.Delta | None
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Config:
     """The configuration at this node.
 
     Attributes:
         catalog: The configuration in force; replaced whole.
+        staged: Later ones that come into force once they are durable.
         ready: Whether the first version since the start was obtained.
         in_force_since_s: When the version came into force here.
         history: Recent changes, oldest first, for peers that lag.
@@ -110,6 +126,9 @@
     """
 
     catalog: catalog_lib.Catalog = catalog_lib.EMPTY
+    staged: collections.deque[Staged] = dataclasses.field(
+        default_factory=collections.deque
+    )
     ready: bool = False
     in_force_since_s: float = 0.0
     history: collections.deque[catalog_lib.Delta] = dataclasses.field(
@@ -125,6 +144,11 @@
         """The version in force."""
         return self.catalog.version
 
+    @property
+    def newest(self) -> catalog_lib.Catalog:
+        """The newest configuration held, in force or staged."""
+        return self.staged[-1].catalog if self.staged else self.catalog
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Control:
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of monsoonpass."""
--- /dev/null
+++ b/tests/fake_mesh.py
@@ -0,0 +1,417 @@
+"""A few reducers joined by a fake network, fake disks and a virtual clock.
+
+Messages are delayed, dropped, duplicated and reordered as a seeded random
+source says. The oracle is the list of accepted versions and the history of
+each node; `check` is called after every event.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import config_messages
+from monsoonpass.core import control_machine
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import node as node_lib
+from monsoonpass.core import reducer
+from monsoonpass.core import replica as replica_lib
+
+DELAY_S = (0.0005, 0.004)
+SYNC_S = (0.0002, 0.003)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What the network does to messages."""
+
+    drop: float = 0.0
+    duplicate: float = 0.0
+    slow: float = 0.0
+    slow_s: float = 0.5
+
+
+class FakeNode:
+    """One process with its disk, which may die and come back."""
+
+    def __init__(self, *, mesh: "FakeMesh", settings: node_lib.Settings):
+        self.mesh = mesh
+        self.settings = settings
+        self.name = settings.address.instance
+        self.durable: list[Any] = []
+        self.life = 0
+        self.alive = False
+        self.suspended = False
+        self.sync_factor = 1.0
+        self.state: node_lib.Node | None = None
+        self.held: list[tuple[Callable[..., Any], dict[str, Any]]] = []
+        self.timers: dict[events.Timer, int] = {}
+        self.pending: list[effects.WriteDisk] = []
+        self.replies: dict[int, Any] = {}
+        self.performed: list[effects.Effect] = []
+
+    def start(self) -> None:
+        """Start a new process on the same disk."""
+        self.life += 1
+        self.alive = True
+        self.suspended = False
+        self.held = []
+        self.timers = {}
+        self.pending = []
+        self.state = node_lib.Node(settings=self.settings)
+        self.feed(
+            events.Started,
+            wall_ms=self.mesh.wall_ms(),
+            journal=tuple(self.durable),
+        )
+
+    def crash(self, *, lose_disk: bool = False) -> None:
+        """Kill the process; unsynced writes survive only in part."""
+        self.alive = False
+        for write in self.pending:
+            if self.mesh.random.random() < 0.5:
+                break
+            self._make_durable(write)
+        self.pending = []
+        if lose_disk:
+            self.durable = []
+
+    def feed(self, make: Callable[..., events.Event], **fields: Any) -> None:
+        """Run one event now, or hold it while the process is suspended."""
+        if not self.alive:
+            return
+        if self.suspended:
+            self.held.append((make, fields))
+            return
+        event = make(
+            now_s=self.mesh.now_s,
+            entropy=self.mesh.random.getrandbits(64),
+            **fields,
+        )
+        for effect in reducer.step(event, self.state):
+            self._perform(effect)
+        self.mesh.check(self)
+
+    def resume(self) -> None:
+        """Let a suspended process run what came in meanwhile."""
+        self.suspended = False
+        held, self.held = self.held, []
+        for make, fields in held:
+            self.feed(make, **fields)
+
+    def _perform(self, effect: effects.Effect) -> None:
+        self.performed.append(effect)
+        if isinstance(effect, effects.Send | effects.SendDatagram):
+            self.mesh.transmit(self, effect)
+        elif isinstance(effect, effects.SetTimer):
+            self._set_timer(effect)
+        elif isinstance(effect, effects.CancelTimer):
+            self.timers.pop(effect.timer, None)
+        elif isinstance(effect, effects.WriteDisk):
+            self.pending.append(effect)
+            delay_s = self.mesh.random.uniform(*SYNC_S) * self.sync_factor
+            self.mesh.at(delay_s, self._sync, self.life, effect.sequence)
+        elif isinstance(effect, effects.Reply):
+            self.replies[effect.request_id] = effect.result
+
+    def _set_timer(self, effect: effects.SetTimer) -> None:
+        number = next(self.mesh.numbers)
+        self.timers[effect.timer] = number
+        self.mesh.at(
+            effect.delay_s, self._fire, self.life, effect.timer, number
+        )
+
+    def _fire(self, life: int, timer: events.Timer, number: int) -> None:
+        if life == self.life and self.timers.get(timer) == number:
+            del self.timers[timer]
+            self.feed(events.TimerFired, timer=timer)
+
+    def _sync(self, life: int, sequence: int) -> None:
+        if life != self.life or not self.alive:
+            return
+        while self.pending and self.pending[0].sequence <= sequence:
+            self._make_durable(self.pending.pop(0))
+        self.feed(events.DiskSynced, sequence=sequence)
+
+    def _make_durable(self, write: effects.WriteDisk) -> None:
+        if write.replace:
+            self.durable = []
+        self.durable.extend(write.records)
+
+
+class FakeMesh:
+    """The nodes, the network between them and the oracle."""
+
+    def __init__(self, *, seed: int, faults: Faults | None = None):
+        self.random = random.Random(seed)
+        self.faults = faults or Faults()
+        self.now_s = 1000.0
+        self.numbers = itertools.count(1)
+        self.nodes: dict[str, FakeNode] = {}
+        self.cut: set[frozenset[str]] = set()
+        self._queue: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._requests = itertools.count(1)
+        self.submitted: list[tuple[str, int, catalog_lib.Catalog]] = []
+        self.accepted: dict[int, bytes] = {}
+        self.contents: dict[tuple[int, bytes], catalog_lib.Catalog] = {}
+        self.newest: dict[str, int] = {}
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, int] = {}
+
+    def add(
+        self,
+        name: str,
+        *,
+        data_centre: str = "a",
+        disk: bool,
+        seeds: tuple[node_lib.Seed, ...],
+        voters: tuple[str, ...],
+        **limits: Any,
+    ) -> FakeNode:
+        """Add a node without starting it."""
+        settings = node_lib.Settings(
+            address=address(name),
+            data_centre=data_centre,
+            region=data_centre,
+            has_disk=disk,
+            seeds=seeds,
+            bootstrap_voters=voters,
+            **limits,
+        )
+        self.nodes[name] = FakeNode(mesh=self, settings=settings)
+        return self.nodes[name]
+
+    def wall_ms(self) -> int:
+        """Return a wall clock in milliseconds."""
+        return int(self.now_s * 1000)
+
+    def at(self, delay_s: float, call: Callable[..., None], *args: Any) -> None:
+        """Run a function after a delay of virtual time."""
+        item = (self.now_s + delay_s, next(self.numbers), call, args)
+        heapq.heappush(self._queue, item)
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            due_s, _, call, args = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, due_s)
+            call(*args)
+        self.now_s = end_s
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> bool:
+        """Let time pass until something holds; return whether it does."""
+        end_s = self.now_s + limit_s
+        while not done():
+            if self.now_s >= end_s:
+                return False
+            self.run(0.05)
+        return True
+
+    def transmit(self, sender: FakeNode, effect: Any) -> None:
+        """Carry a message, or lose it."""
+        target = self.nodes.get(effect.to.instance)
+        if target is None:
+            return
+        if target is sender:
+            self.at(0.0, self._deliver, sender, target, effect.message)
+            return
+        if self.random.random() < self.faults.drop:
+            return
+        copies = 1 + (self.random.random() < self.faults.duplicate)
+        for _ in range(copies):
+            delay_s = self.random.uniform(*DELAY_S)
+            if self.random.random() < self.faults.slow:
+                delay_s += self.random.uniform(0, self.faults.slow_s)
+            self.at(delay_s, self._deliver, sender, target, effect.message)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether two nodes cannot reach each other."""
+        return frozenset((one, other)) in self.cut
+
+    def split(self, group: set[str]) -> None:
+        """Cut some nodes off from all others."""
+        for one in group:
+            for other in set(self.nodes) - group:
+                self.cut.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Mend all cuts, end all faults, wake and restart all nodes."""
+        self.cut.clear()
+        self.faults = Faults()
+        for node in self.nodes.values():
+            node.sync_factor = 1.0
+            if node.suspended:
+                node.resume()
+            if not node.alive:
+                node.start()
+
+    def submit(self, name: str, catalog: catalog_lib.Catalog) -> int:
+        """Submit a configuration at a node; return the request's number."""
+        request_id = next(self._requests)
+        key = (catalog.version, catalog.digest)
+        self.contents[key] = catalog
+        self.submitted.append((name, request_id, catalog))
+        self.nodes[name].feed(
+            events.SubmitRequested,
+            request_id=request_id,
+            snapshot=catalog.snapshot(),
+        )
+        return request_id
+
+    def result(self, name: str, request_id: int) -> Any:
+        """Return the reply to a request, or None so far."""
+        return self.nodes[name].replies.get(request_id)
+
+    def leader(self) -> FakeNode | None:
+        """Return a live node that leads with the highest term."""
+        leading = [
+            node
+            for node in self.nodes.values()
+            if node.alive
+            and node.state.control.replica is not None
+            and node.state.control.replica.is_leader
+        ]
+        return max(
+            leading,
+            key=lambda n: n.state.control.replica.term,
+            default=None,
+        )
+
+    def collect_accepted(self) -> None:
+        """Enter accepted submissions into the oracle (I9)."""
+        status = config_messages.SubmitStatus
+        for name, request_id, catalog in self.submitted:
+            reply = self.result(name, request_id)
+            if reply is None or reply.status not in (
+                status.ACCEPTED,
+                status.SUPERSEDED,
+            ):
+                continue
+            known = self.accepted.setdefault(catalog.version, catalog.digest)
+            assert known == catalog.digest, "I9: one version, two contents"
+
+    def check(self, node: FakeNode) -> None:
+        """Check what must hold of a node after each of its events."""
+        config = node.state.config
+        if config.ready:
+            newest = self.newest.get(node.name, 0)
+            assert config.version >= newest, "I1: version went back"
+            self.newest[node.name] = config.version
+        if config.version:
+            key = (config.version, config.catalog.digest)
+            assert key in self.contents, "I3: content nobody submitted"
+            for service in config.catalog.services.values():
+                for needed in service.depends_on:
+                    assert needed in config.catalog.services, "I2: not closed"
+        replica = node.state.control.replica
+        if replica is not None and replica.is_leader:
+            leader = self.leaders.setdefault(replica.term, node.name)
+            assert leader == node.name, "two leaders in one term"
+        if replica is not None:
+            self._check_committed(replica)
+
+    def _check_committed(self, replica: replica_lib.Replica) -> None:
+        """Check that all replicas commit the same entries (I9)."""
+        number = replica.commit_index
+        while number > replica.log.base_index:
+            term = replica.log.term_at(number)
+            known = self.committed.get(number)
+            if known is not None:
+                assert known == term, "I9: a committed entry was replaced"
+                return
+            self.committed[number] = term
+            number -= 1
+
+    def check_converged(self) -> None:
+        """Check that every accepted version is in force or superseded."""
+        self.collect_accepted()
+        newest = max(self.accepted, default=0)
+        for node in self.nodes.values():
+            version = node.state.config.version
+            assert node.state.config.ready, f"{node.name} is not ready"
+            assert version >= newest, f"I9: {node.name} lacks {newest}"
+            if version in self.accepted:
+                digest = node.state.config.catalog.digest
+                assert digest == self.accepted[version], "I9: other content"
+        leader = self.leader()
+        assert leader is not None, "no leader"
+        machine = leader.state.control.machine
+        oldest_kept = machine.recent[0].version if machine.recent else 0
+        for version, digest in self.accepted.items():
+            if version < oldest_kept and len(machine.recent) >= (
+                control_machine.RECENT_VERSIONS
+            ):
+                continue
+            recent = machine.find_recent(version)
+            assert recent is not None, f"I9: version {version} was lost"
+            assert recent.digest == digest, "I9: other content"
+        versions = {n.state.config.version for n in self.nodes.values()}
+        assert len(versions) == 1, f"not converged: {versions}"
+
+    def _deliver(
+        self, sender: FakeNode, target: FakeNode, message: Any
+    ) -> None:
+        if self.is_cut(sender.name, target.name):
+            return
+        target.feed(
+            events.PeerMessage,
+            sender=sender.settings.address,
+            message=message,
+        )
+
+
+def address(name: str) -> address_lib.Address:
+    """Return the address of a fake node."""
+    return address_lib.Address(instance=name, host="127.0.0.1", port=1)
+
+
+def seed(name: str, data_centre: str = "a") -> node_lib.Seed:
+    """Return a seed of a fake node."""
+    return node_lib.Seed(
+        address=address(name), data_centre=data_centre, region=data_centre
+    )
+
+
+def make_catalog(version: int, *names: str) -> catalog_lib.Catalog:
+    """Return a configuration in which each service depends on the first."""
+    services = {}
+    for name in names:
+        services[name] = catalog_lib.Service(
+            name=name,
+            depends_on=tuple(n for n in names[:1] if n != name),
+            routes=(make_route(),),
+        )
+    return catalog_lib.Catalog(version=version, services=services)
+
+
+def make_route(**changes: Any) -> catalog_lib.Route:
+    """Return a short idempotent route for any path."""
+    fields = {
+        "path": "/",
+        "methods": (),
+        "idempotent": True,
+        "priority": catalog_lib.Priority.NORMAL,
+        "deadline_s": 5.0,
+        "bulk": False,
+    }
+    return catalog_lib.Route(**{**fields, **changes})
+
+
+def make_group(
+    count: int, *, seed_number: int = 1, faults: Faults | None = None
+) -> FakeMesh:
+    """Return a mesh of voters in one data centre, all started."""
+    names = tuple(f"n{number}" for number in range(count))
+    mesh = FakeMesh(seed=seed_number, faults=faults)
+    seeds = tuple(seed(name) for name in names)
+    for name in names:
+        mesh.add(name, disk=True, seeds=seeds, voters=names)
+    for name in names:
+        mesh.nodes[name].start()
+    return mesh
--- /dev/null
+++ b/tests/test_control_group.py
@@ -0,0 +1,178 @@
+"""Tests of the control group under single, named failures."""
+
+import pytest
+
+from monsoonpass.core import config_messages
+from tests import fake_mesh
+
+Status = config_messages.SubmitStatus
+
+
+class TestFormation:
+    @pytest.mark.parametrize("count", [1, 3, 5])
+    def test_group_forms_and_accepts(self, count):
+        mesh = fake_mesh.make_group(count)
+        assert mesh.run_until(lambda: mesh.leader() is not None, 10)
+        number = mesh.submit("n0", fake_mesh.make_catalog(1, "a", "b"))
+        assert mesh.run_until(lambda: mesh.result("n0", number), 5)
+        assert mesh.result("n0", number).status is Status.ACCEPTED
+        mesh.run(3)
+        mesh.check_converged()
+
+    def test_founders_elect_another_after_the_first_leader_dies(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run_until(lambda: mesh.leader() is not None, 10)
+        mesh.run(0.5)
+        first = mesh.leader()
+        first.crash()
+        assert mesh.run_until(lambda: mesh.leader() not in (None, first), 10)
+
+    def test_emptied_disk_does_not_found_a_second_group(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        group = mesh.nodes["n1"].state.control.identity.group
+        mesh.nodes["n0"].crash(lose_disk=True)
+        mesh.nodes["n0"].start()
+        mesh.run(60)
+        identity = mesh.nodes["n0"].state.control.identity
+        assert identity.group in (0, group)
+
+
+class TestReplacement:
+    def test_lost_disk_rejoins_as_learner_and_is_promoted(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        number = mesh.submit("n1", fake_mesh.make_catalog(1, "a"))
+        mesh.run(2)
+        assert mesh.result("n1", number).status is Status.ACCEPTED
+        old_id = mesh.nodes["n2"].state.control.identity.replica_id
+        mesh.nodes["n2"].crash(lose_disk=True)
+        mesh.nodes["n2"].start()
+        mesh.run(60)
+        members = mesh.leader().state.control.replica.members
+        new_id = mesh.nodes["n2"].state.control.identity.replica_id
+        assert new_id != old_id
+        assert new_id in members.voters
+        assert old_id not in members.voters
+        mesh.check_converged()
+
+    def test_second_loss_after_a_finished_repair_loses_nothing(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        for version, name in enumerate(("n2", "n1", "n0"), start=1):
+            number = mesh.submit(
+                name, fake_mesh.make_catalog(version, "a", f"s{version}")
+            )
+            mesh.run(3)
+            assert mesh.result(name, number).status is Status.ACCEPTED
+            mesh.nodes[name].crash(lose_disk=True)
+            mesh.nodes[name].start()
+            mesh.run(60)
+        mesh.collect_accepted()
+        assert sorted(mesh.accepted) == [1, 2, 3]
+        mesh.check_converged()
+
+
+class TestSubmit:
+    def test_cut_off_node_refuses_in_bounded_time(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        mesh.split({"n2"})
+        mesh.run(5)
+        number = mesh.submit("n2", fake_mesh.make_catalog(1, "a"))
+        mesh.run(6)
+        assert mesh.result("n2", number).status is Status.UNAVAILABLE
+
+    def test_cut_off_leader_never_accepts(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        leader = mesh.leader()
+        mesh.split({leader.name})
+        number = mesh.submit(leader.name, fake_mesh.make_catalog(1, "a"))
+        mesh.run(10)
+        assert mesh.result(leader.name, number).status in (
+            Status.UNAVAILABLE,
+            Status.UNCONFIRMED,
+        )
+
+    def test_racing_equal_versions_have_one_winner(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        one = mesh.submit("n0", fake_mesh.make_catalog(1, "a"))
+        two = mesh.submit("n1", fake_mesh.make_catalog(1, "b"))
+        mesh.run(5)
+        statuses = {
+            mesh.result("n0", one).status,
+            mesh.result("n1", two).status,
+        }
+        assert statuses == {Status.ACCEPTED, Status.CONFLICT}
+
+    def test_resend_is_accepted_again_and_older_is_superseded(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        results = []
+        for version in (1, 1, 2, 1):
+            catalog = fake_mesh.make_catalog(version, f"s{version}")
+            number = mesh.submit("n2", catalog)
+            mesh.run(2)
+            results.append(mesh.result("n2", number).status)
+        assert results == [
+            Status.ACCEPTED,
+            Status.ACCEPTED,
+            Status.ACCEPTED,
+            Status.SUPERSEDED,
+        ]
+
+    def test_older_unknown_version_is_refused(self):
+        mesh = fake_mesh.make_group(1)
+        mesh.run(1)
+        mesh.submit("n0", fake_mesh.make_catalog(5, "a"))
+        mesh.run(1)
+        number = mesh.submit("n0", fake_mesh.make_catalog(3, "a"))
+        mesh.run(1)
+        reply = mesh.result("n0", number)
+        assert reply.status is Status.NOT_INCREASING
+        assert reply.version == 5
+
+    def test_submission_during_an_election_is_accepted_later(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        mesh.leader().crash()
+        name = next(n.name for n in mesh.nodes.values() if n.alive)
+        number = mesh.submit(name, fake_mesh.make_catalog(1, "a"))
+        mesh.run(6)
+        assert mesh.result(name, number).status is Status.ACCEPTED
+
+
+class TestSuspendedLeader:
+    def test_leader_that_wakes_does_not_answer_from_an_old_lease(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        old = mesh.leader()
+        old.suspended = True
+        mesh.run(5)
+        other = next(n for n in mesh.nodes.values() if n is not old)
+        number = mesh.submit(other.name, fake_mesh.make_catalog(1, "a"))
+        mesh.run(3)
+        assert mesh.result(other.name, number).status is Status.ACCEPTED
+        number = mesh.submit(old.name, fake_mesh.make_catalog(1, "b"))
+        old.resume()
+        mesh.run(8)
+        assert mesh.result(old.name, number).status is Status.CONFLICT
+
+
+class TestCompaction:
+    def test_log_is_compacted_and_a_lagging_follower_gets_a_snapshot(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        lagging = next(n for n in mesh.nodes.values() if n != mesh.leader())
+        lagging.crash()
+        name = mesh.leader().name
+        for version in range(1, 1105):
+            mesh.submit(name, fake_mesh.make_catalog(version, "a"))
+            mesh.run(0.02)
+        mesh.run(1)
+        assert mesh.leader().state.control.replica.log.base_index > 0
+        lagging.start()
+        mesh.run(5)
+        mesh.check_converged()
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,169 @@
+"""Tests of distribution and membership over fake networks."""
+
+from monsoonpass.core import effects
+from monsoonpass.core import member as member_lib
+from tests import fake_mesh
+
+
+def make_two_places(
+    *, seed_number: int = 1, plain: int = 4, faults=None
+) -> fake_mesh.FakeMesh:
+    """Return three voters in place "a" and plain nodes in "a" and "b"."""
+    voters = ("v0", "v1", "v2")
+    names_a = [f"a{number}" for number in range(plain)]
+    names_b = [f"b{number}" for number in range(plain)]
+    seeds = (
+        *(fake_mesh.seed(name, "a") for name in voters),
+        *(fake_mesh.seed(name, "b") for name in names_b[:2]),
+    )
+    mesh = fake_mesh.FakeMesh(seed=seed_number, faults=faults)
+    for name in voters:
+        mesh.add(name, data_centre="a", disk=True, seeds=seeds, voters=voters)
+    for name in names_a:
+        mesh.add(name, data_centre="a", disk=False, seeds=seeds, voters=voters)
+    for name in names_b:
+        mesh.add(name, data_centre="b", disk=False, seeds=seeds, voters=voters)
+    for node in mesh.nodes.values():
+        node.start()
+    return mesh
+
+
+def count_sends(mesh, kind) -> int:
+    """Return how often a kind of message was sent by any node."""
+    return sum(
+        isinstance(effect, effects.Send) and isinstance(effect.message, kind)
+        for node in mesh.nodes.values()
+        for effect in node.performed
+    )
+
+
+def versions(mesh) -> set[int]:
+    """Return the versions in force on all nodes."""
+    return {node.state.config.version for node in mesh.nodes.values()}
+
+
+class TestPush:
+    def test_version_reaches_both_places_within_a_second(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("a1", fake_mesh.make_catalog(1, "x"))
+        mesh.run(1)
+        assert versions(mesh) == {1}
+
+    def test_one_copy_of_a_delta_crosses_to_each_other_place(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        crossing = [
+            effect
+            for node in mesh.nodes.values()
+            for effect in node.performed
+            if node.settings.data_centre == "a"
+            and isinstance(effect, effects.Send)
+            and type(effect.message).__name__ in ("Push", "FetchReply")
+            and effect.to.instance.startswith("b")
+        ]
+        assert len(crossing) == 1
+
+    def test_node_that_missed_hundreds_of_changes_gets_one_reply(self):
+        mesh = make_two_places(plain=2)
+        mesh.run(6)
+        mesh.split({"a1"})
+        for version in range(1, 401):
+            mesh.submit("v0", fake_mesh.make_catalog(version, "x", "y"))
+            mesh.run(0.05)
+        mesh.cut.clear()
+        mesh.run(4)
+        assert versions(mesh) == {400}
+
+    def test_delta_that_overtakes_its_base_is_not_applied(self):
+        mesh = make_two_places(
+            plain=3, faults=fake_mesh.Faults(slow=0.5, slow_s=0.8)
+        )
+        mesh.run(8)
+        for version in range(1, 30):
+            mesh.submit("v0", fake_mesh.make_catalog(version, "x"))
+            mesh.run(0.1)
+        mesh.heal()
+        mesh.run(15)
+        mesh.check_converged()
+
+
+class TestColdStart:
+    def test_diskless_node_serves_nothing_before_a_quorum_answers(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"v0", "v1", "v2"})
+        mesh.nodes["a0"].crash()
+        mesh.nodes["a0"].start()
+        mesh.run(5)
+        assert not mesh.nodes["a0"].state.config.ready
+        mesh.cut.clear()
+        mesh.run(6)
+        assert mesh.nodes["a0"].state.config.version == 1
+
+    def test_restart_of_all_nodes_at_once(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for node in mesh.nodes.values():
+            node.start()
+        mesh.run(10)
+        mesh.check_converged()
+        assert versions(mesh) == {1}
+
+
+class TestMembership:
+    def test_all_members_are_known_after_a_join_storm(self):
+        mesh = make_two_places(plain=12)
+        mesh.run(8)
+        for node in mesh.nodes.values():
+            expected = 15 if node.settings.data_centre == "a" else 12
+            assert len(node.state.membership.table.alive()) == expected
+
+    def test_dead_member_is_declared_dead_and_returns(self):
+        mesh = make_two_places(plain=4)
+        mesh.run(6)
+        mesh.nodes["a0"].crash()
+        mesh.run(15)
+        seen = mesh.nodes["v0"].state.membership.table
+        assert seen.get("a0").state is member_lib.MemberState.DEAD
+        mesh.nodes["a0"].start()
+        mesh.run(5)
+        assert seen.get("a0").state is member_lib.MemberState.ALIVE
+
+    def test_absence_of_most_members_keeps_their_records(self):
+        mesh = make_two_places(plain=8)
+        mesh.run(8)
+        mesh.split({"a0", "a1"})
+        mesh.run(60)
+        table = mesh.nodes["a0"].state.membership.table
+        assert table.present_count == 11
+        assert mesh.nodes["a0"].state.membership.partitioned
+        mesh.cut.clear()
+        mesh.run(60)
+        assert len(table.alive()) == 11
+
+    def test_draining_is_known_to_others_within_a_second(self):
+        mesh = make_two_places(plain=8)
+        mesh.run(8)
+        node = mesh.nodes["a0"]
+        node.feed(
+            fake_mesh.events.UpstreamAnnounced,
+            service="x",
+            slots=4,
+            cold=False,
+        )
+        mesh.run(1)
+        node.feed(fake_mesh.events.UpstreamDraining)
+        mesh.run(1)
+        for other in mesh.nodes.values():
+            if other.settings.data_centre == "a":
+                known = other.state.membership.table.get("a0")
+                assert known.upstream is member_lib.UpstreamState.DRAINING
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,192 @@
+"""Tests of a single replica's promises, one rule at a time.
+
+Each names the line without which it fails.
+"""
+
+from monsoonpass.core import config_messages
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import control_machine
+from monsoonpass.core import disk_queue
+from monsoonpass.core import effects
+from monsoonpass.core import election  # noqa: F401
+from monsoonpass.core import events
+from monsoonpass.core import follower  # noqa: F401
+from monsoonpass.core import group
+from monsoonpass.core import replica as replica_lib
+from monsoonpass.core import replication
+from tests import fake_mesh
+
+
+def make_leader() -> replica_lib.Replica:
+    """Return a leader of term 3 that holds one entry of term 2."""
+    members = records.Members(
+        members=tuple(
+            records.Member(
+                replica_id=number,
+                address=fake_mesh.address(f"n{number}"),
+                voter=True,
+            )
+            for number in (1, 2, 3)
+        )
+    )
+    replica = replica_lib.Replica(
+        identity=records.Identity(instance="n1", replica_id=1, group=7),
+        machine=control_machine.ControlMachine(),
+        disk=disk_queue.DiskQueue(),
+        base_members=members,
+        term=3,
+    )
+    entry = records.Entry(
+        index=1, term=2, kind=records.EntryKind.NOOP, data=b""
+    )
+    replica.hold((entry,))
+    replica.synced_index = 1
+    replication.become_leader(replica, 100.0)
+    return replica
+
+
+def reply(match_index: int, *, success: bool = True, sent_s: float = 100.0):
+    """Return an answer of replica 2."""
+    return records.AppendReply(
+        group=7,
+        term=3,
+        replica=2,
+        success=success,
+        match_index=match_index,
+        sent_s=sent_s,
+    )
+
+
+def receive(replica, message, now_s=100.1):
+    """Give a message to a replica and return the effects."""
+    sender = fake_mesh.address("n2")
+    return group.receive(message, replica, sender, now_s, 5)
+
+
+class TestCommit:
+    def test_entry_of_an_older_term_is_not_committed_by_counting(self):
+        """Guard: `log.term_at(index) != replica.term` in _advance_commit."""
+        replica = make_leader()
+        receive(replica, reply(1))
+        assert replica.commit_index == 0
+        replica.synced_index = 2
+        receive(replica, reply(2))
+        assert replica.commit_index == 2
+
+    def test_follower_acknowledges_only_what_is_synced(self):
+        """Guard: `replica.disk.after_sync([reply])` in the follower."""
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        leader = mesh.leader()
+        for node in mesh.nodes.values():
+            if node is not leader:
+                node.sync_factor = 10_000.0
+        number = mesh.submit(leader.name, fake_mesh.make_catalog(1, "a"))
+        mesh.run(0.4)
+        assert mesh.result(leader.name, number) is None
+
+
+class TestVote:
+    def test_vote_outlives_a_crash(self):
+        """Guard: `replica.write_hard_state()` before the vote's reply."""
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        node = next(n for n in mesh.nodes.values() if n != mesh.leader())
+        mesh.split({node.name})
+        mesh.run(3)
+        assert self.ask(mesh, node, candidate=111) == [True]
+        node.crash()
+        node.start()
+        mesh.run(0.9)
+        assert self.ask(mesh, node, candidate=222) == [False]
+
+    def ask(self, mesh, node, candidate: int) -> list[bool]:
+        """Ask for a vote in term 50 and return the answers."""
+        before = len(node.performed)
+        request = records.VoteRequest(
+            group=node.state.control.identity.group,
+            term=50,
+            candidate=candidate,
+            last_index=10_000,
+            last_term=49,
+            pre=False,
+        )
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("elsewhere"),
+            message=request,
+        )
+        mesh.run(0.05)
+        return [
+            effect.message.granted
+            for effect in node.performed[before:]
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, records.VoteReply)
+            and not effect.message.pre
+            and effect.to.instance == "elsewhere"
+        ]
+
+
+class TestSlowFollower:
+    def test_window_bounds_what_is_in_flight(self):
+        replica = make_leader()
+        receive(replica, reply(2))
+        sent = 0
+        for _ in range(100):
+            for effect in replication.propose(
+                replica,
+                kind=records.EntryKind.COMMAND,
+                data=bytes(1000),
+                token=None,
+                now_s=100.2,
+            ):
+                is_send = isinstance(effect, effects.Send)
+                sent += is_send and effect.to.instance == "n2"
+        assert sent == replication.WINDOW_BATCHES
+
+    def test_an_answer_never_makes_the_leader_send_a_batch_again(self):
+        replica = make_leader()
+        receive(replica, reply(2))
+        replication.propose(
+            replica,
+            kind=records.EntryKind.COMMAND,
+            data=b"",
+            token=None,
+            now_s=100.2,
+        )
+        for _ in range(10):
+            again = receive(replica, reply(2))
+            assert not [
+                e
+                for e in again
+                if isinstance(e, effects.Send)
+                and isinstance(e.message, records.Append)
+                and e.message.entries
+            ]
+
+
+class TestReads:
+    def test_read_waits_for_an_acknowledgement_sent_after_it(self):
+        """Guard: `contact_s >= read.asked_s` in _finish_reads."""
+        replica = make_leader()
+        replica.synced_index = 2
+        receive(replica, reply(2, sent_s=100.0))
+        replication.start_read(replica, token="t", now_s=101.0)
+        replica.take_notices()
+        receive(replica, reply(2, sent_s=100.9), now_s=101.1)
+        assert replica.take_notices() == []
+        receive(replica, reply(2, sent_s=101.0), now_s=101.1)
+        assert replica.take_notices() == [replica_lib.ReadReady(token="t")]
+
+
+class TestUncertainty:
+    def test_unanswered_proposal_is_told_as_unconfirmed(self):
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        leader = mesh.leader()
+        number = mesh.submit(leader.name, fake_mesh.make_catalog(1, "a"))
+        mesh.split({leader.name})
+        mesh.run(8)
+        assert mesh.result(leader.name, number).status is (
+            config_messages.SubmitStatus.UNCONFIRMED
+        )
