--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of monsoonpass: timings live here, never in the tests."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,94 @@
+"""The experiment tool.
+
+Usage:
+  python -m benchmarks list
+  python -m benchmarks run NAME [NAME ...]   (or: run all)
+  python -m benchmarks compare OLD.json NEW.json
+
+Options of each experiment stand in benchmarks/experiments.ini; --set changes
+one for this run, as in --set hop.calls=500. Results go to results/NAME.json.
+"""
+
+import configparser
+import datetime
+import importlib
+import json
+import logging
+import pathlib
+import platform
+import sys
+import tempfile
+
+from absl import app
+from absl import flags
+
+_SET = flags.DEFINE_multi_string("set", [], "NAME.OPTION=VALUE")
+_OUT = flags.DEFINE_string("out", "results", "Folder for the results.")
+INI = pathlib.Path(__file__).with_name("experiments.ini")
+
+
+def _main(arguments: list[str]) -> int:
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+    settings = configparser.ConfigParser()
+    settings.read(INI)
+    for change in _SET.value:
+        place, _, value = change.partition("=")
+        name, _, option = place.partition(".")
+        settings[name][option] = value
+    command = arguments[1] if len(arguments) > 1 else ""
+    if command == "list":
+        for name in settings.sections():
+            print(f"{name:14} {settings[name]['about']}")
+        return 0
+    if command == "run" and len(arguments) > 2:
+        names = arguments[2:]
+        if names == ["all"]:
+            names = settings.sections()
+        for name in names:
+            _run(name, dict(settings[name]))
+        return 0
+    if command == "compare" and len(arguments) == 4:
+        _compare(*arguments[2:])
+        return 0
+    print(__doc__, file=sys.stderr)
+    return 2
+
+
+def _run(name: str, options: dict[str, str]) -> None:
+    module = importlib.import_module(f"benchmarks.{options['module']}")
+    with tempfile.TemporaryDirectory(prefix="monsoonpass-") as folder:
+        result = module.run(options, pathlib.Path(folder))
+    record = {
+        "experiment": name,
+        "options": options,
+        "python": platform.python_version(),
+        "when": datetime.datetime.now(datetime.UTC).isoformat(),
+        "result": result,
+    }
+    out = pathlib.Path(_OUT.value)
+    out.mkdir(parents=True, exist_ok=True)
+    (out / f"{name}.json").write_text(json.dumps(record, indent=2))
+    print(f"== {name}: {options['about']}")
+    for key, value in flatten(result).items():
+        print(f"{key:48} {value}")
+
+
+def _compare(old_path: str, new_path: str) -> None:
+    old = flatten(json.loads(pathlib.Path(old_path).read_text())["result"])
+    new = flatten(json.loads(pathlib.Path(new_path).read_text())["result"])
+    for key in sorted({*old, *new}):
+        print(f"{key:48} {old.get(key, '-')!s:>12} {new.get(key, '-')!s:>12}")
+
+
+def flatten(value: object, prefix: str = "") -> dict[str, object]:
+    """Return nested results as one level, keys joined by dots."""
+    if isinstance(value, dict):
+        result: dict[str, object] = {}
+        for key, item in value.items():
+            result.update(flatten(item, f"{prefix}.{key}" if prefix else key))
+        return result
+    return {prefix: value}
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,136 @@
+"""Starts and ends real daemons on loopback, by process id."""
+
+from collections.abc import Sequence
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import httpx
+
+from monsoonpass.standin import local_mesh
+
+START_LIMIT_S = 60.0
+
+
+class Fleet:
+    """A mesh of daemon processes; use it as a context manager.
+
+    Attributes:
+        nodes: The nodes, with their addresses and settings.
+        processes: The running daemons by instance name.
+    """
+
+    def __init__(
+        self,
+        *,
+        places: Sequence[local_mesh.Place],
+        voters: Sequence[str],
+        folder: pathlib.Path,
+        extra_settings: str = "",
+    ):
+        self._mesh = local_mesh.LocalMesh(
+            places=places,
+            voters=voters,
+            folder=folder,
+            extra_settings=extra_settings,
+        )
+        self._folder = folder
+        self.nodes = self._mesh.nodes
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.http = httpx.Client(timeout=15.0)
+
+    def __enter__(self) -> "Fleet":
+        for node in self.nodes:
+            self.start(node)
+        for node in self.nodes:
+            self._wait_until_up(node)
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.http.close()
+
+    def start(self, node: local_mesh.LocalNode) -> None:
+        """Start a node's daemon."""
+        path = self._folder / f"{node.name}.ini"
+        path.write_text(node.settings_text, encoding="utf-8")
+        self.processes[node.name] = subprocess.Popen(
+            [sys.executable, "-m", "monsoonpass.cli", "--settings", str(path)],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def kill(self, node: local_mesh.LocalNode) -> None:
+        """Kill a node's daemon at once."""
+        self.processes[node.name].kill()
+        self.processes[node.name].wait()
+
+    def freeze(self, node: local_mesh.LocalNode) -> None:
+        """Suspend a node's daemon."""
+        self.processes[node.name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, node: local_mesh.LocalNode) -> None:
+        """Let a suspended daemon go on."""
+        self.processes[node.name].send_signal(signal.SIGCONT)
+
+    def cpu_s(self, node: local_mesh.LocalNode) -> float:
+        """Return the processor time that a daemon has used."""
+        text = pathlib.Path(
+            f"/proc/{self.processes[node.name].pid}/stat"
+        ).read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_bytes(self, node: local_mesh.LocalNode) -> int:
+        """Return a daemon's resident memory."""
+        text = pathlib.Path(
+            f"/proc/{self.processes[node.name].pid}/statm"
+        ).read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def metric(self, node: local_mesh.LocalNode, name: str) -> float:
+        """Return the sum of all samples of a metric of a node."""
+        text = self.http.get(f"{node.operator_url}/metrics").text
+        return sum(
+            float(line.rsplit(" ", 1)[1])
+            for line in text.splitlines()
+            if line.startswith(name)
+        )
+
+    def version(self, node: local_mesh.LocalNode) -> int:
+        """Return the version in force at a node, or -1 if it is down."""
+        try:
+            view = self.http.get(f"{node.operator_url}/v1/node").json()
+        except httpx.HTTPError:
+            return -1
+        return view["version"] if view["ready"] else -1
+
+    def submit(self, node: local_mesh.LocalNode, text: str) -> str:
+        """Submit a text until it is accepted; return the last status."""
+        deadline_s = time.monotonic() + START_LIMIT_S
+        status = ""
+        while time.monotonic() < deadline_s:
+            response = self.http.post(
+                f"{node.operator_url}/v1/config", content=text.encode()
+            )
+            status = response.json()["status"]
+            if response.status_code == 200:
+                break
+            time.sleep(0.1)
+        return status
+
+    def _wait_until_up(self, node: local_mesh.LocalNode) -> None:
+        deadline_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline_s:
+            try:
+                self.http.get(f"{node.operator_url}/healthz")
+                return
+            except httpx.HTTPError:
+                time.sleep(0.05)
+        raise TimeoutError(f"{node.name} did not start")
