--- /dev/null
+++ b/tests/fake_calls.py
@@ -0,0 +1,427 @@
+"""Calls over fake nodes: fake upstreams in virtual time, and an oracle.
+
+The oracle counts dispatches per call and per key and holds every final
+answer; `check_finals` compares them.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import ledger
+from monsoonpass.core import outcome
+from tests import fake_mesh
+
+NOT_RUN = outcome.Outcome.NOT_RUN
+UNKNOWN = outcome.Outcome.UNKNOWN
+
+
+@dataclasses.dataclass(kw_only=True)
+class CallRecord:
+    """What the oracle knows of one call.
+
+    Attributes:
+        number: Its number at its entry node.
+        entry: Its entry node.
+        kind: What the caller asked for, such as a path.
+        idempotent: Whether it may run more than once.
+        key: Its idempotency key, or empty.
+        arrived_s: When it arrived.
+        ended_s: When it got its final answer, or None.
+        answer: Number of the call whose answer it got, or None.
+        failure: Its final failure, or None.
+        runs: How often an upstream was given it.
+    """
+
+    number: int
+    entry: str
+    kind: str
+    idempotent: bool
+    key: str
+    arrived_s: float
+    ended_s: float | None = None
+    answer: int | None = None
+    failure: outcome.Failure | None = None
+    runs: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class PeerWork:
+    """A forwarded call at its owner."""
+
+    entry: "CallNode"
+    life: int
+    call_id: int
+    attempt: int
+    cancelled: bool = False
+
+
+class CallNode(fake_mesh.FakeNode):
+    """A fake node with a fake upstream."""
+
+    def __init__(self, **fields: Any):
+        super().__init__(**fields)
+        self.service_s: Callable[[CallRecord], float] = lambda _: 0.01
+        self.fails: Callable[[CallRecord], bool] = lambda _: False
+        self.works: dict[int, PeerWork] = {}
+        self.running: set[int] = set()
+        self.draining = False
+        self.dispatched_after_drain = 0
+        self.most_running = 0
+
+    def start(self) -> None:
+        """Start a new process; its upstream has nothing running."""
+        self.works = {}
+        self.running = set()
+        self.draining = False
+        super().start()
+
+    def announce(self, slots: int, service: str = "shop") -> None:
+        """Announce the upstream."""
+        self.draining = False
+        self.feed(
+            events.UpstreamAnnounced, service=service, slots=slots, cold=False
+        )
+
+    def drain(self) -> None:
+        """Announce that the upstream leaves."""
+        self.feed(events.UpstreamDraining)
+        self.draining = True
+
+    def _perform(self, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.Forward):
+            self._forward(effect)
+        elif isinstance(effect, effects.Dispatch):
+            self._dispatch(effect.work_id)
+        elif isinstance(effect, effects.Refuse):
+            self._refuse(effect)
+        elif isinstance(effect, effects.CancelForward):
+            self._cancel_forward(effect)
+        elif isinstance(effect, effects.AbortDispatch):
+            self.mesh.at(0.0, self._abort, self.life, effect.work_id)
+        elif isinstance(effect, effects.Replay):
+            record = self.mesh.calls[effect.call_id]
+            self.mesh.end(record, answer=int(effect.body))
+        else:
+            super()._perform(effect)
+
+    def _forward(self, effect: effects.Forward) -> None:
+        target = self.mesh.nodes[effect.to.instance]
+        self.mesh.carry(self, target, self._arrive_at, target, effect)
+
+    def _arrive_at(self, target: "CallNode", effect: effects.Forward) -> None:
+        if not target.alive or target.suspended:
+            self._link_lost(target, effect)
+            return
+        number = self.mesh.next_number()
+        target.works[number] = PeerWork(
+            entry=self,
+            life=self.life,
+            call_id=effect.call_id,
+            attempt=effect.attempt,
+        )
+        target.feed(
+            events.PeerCallArrived,
+            work_id=number,
+            sender=self.name,
+            service="shop",
+            timeout_s=effect.timeout_s,
+            priority=effect.priority,
+            bulk=effect.bulk,
+            route=effect.route,
+        )
+
+    def _link_lost(self, target: "CallNode", effect: effects.Forward) -> None:
+        self.feed(events.LinkLost, instance=target.name)
+        self._attempt_ended(
+            self.life, effect.call_id, effect.attempt, _LINK_LOST, None, 0
+        )
+
+    def _cancel_forward(self, effect: effects.CancelForward) -> None:
+        for node in self.mesh.nodes.values():
+            for number, work in node.works.items():
+                same = (work.entry, work.call_id, work.attempt) == (
+                    self,
+                    effect.call_id,
+                    effect.attempt,
+                )
+                if same:
+                    work.cancelled = True
+                    self.mesh.carry(self, node, node.cancel, number)
+
+    def cancel(self, number: int) -> None:
+        """Take a peer's cancellation."""
+        self.feed(events.PeerCallCancelled, work_id=number)
+
+    def _record(self, work_id: int) -> CallRecord:
+        work = self.works.get(work_id)
+        return self.mesh.calls[work.call_id if work else work_id]
+
+    def _dispatch(self, work_id: int) -> None:
+        record = self._record(work_id)
+        record.runs += 1
+        if record.key:
+            self.mesh.runs_by_key[record.key] += 1
+        self.dispatched_after_drain += self.draining
+        self.running.add(work_id)
+        self.most_running = max(self.most_running, len(self.running))
+        service_s = self.service_s(record)
+        self.mesh.at(
+            service_s, self._finish, self.life, work_id, self.mesh.now_s
+        )
+
+    def _finish(self, life: int, work_id: int, started_s: float) -> None:
+        if life != self.life or not self.alive:
+            return
+        if work_id not in self.running:
+            return
+        self.running.discard(work_id)
+        record = self._record(work_id)
+        failure = _BROKEN if self.fails(record) else None
+        self._end_work(work_id, failure, started_s)
+
+    def _abort(self, life: int, work_id: int) -> None:
+        if life != self.life or work_id not in self.running:
+            return
+        self.running.discard(work_id)
+        self._end_work(work_id, _CANCELLED, self.mesh.now_s)
+
+    def _end_work(
+        self, work_id: int, failure: outcome.Failure | None, started_s: float
+    ) -> None:
+        record = self._record(work_id)
+        self.feed(
+            events.WorkFinished,
+            work_id=work_id,
+            service_time_s=self.mesh.now_s - started_s,
+            failure=failure,
+        )
+        work = self.works.pop(work_id, None)
+        if work is not None:
+            self._send_end(work, failure, record.number)
+        elif failure is None:
+            self._whole(record, record.number)
+
+    def _send_end(
+        self, work: PeerWork, failure: outcome.Failure | None, answer: int
+    ) -> None:
+        if work.cancelled:
+            return
+        load = self.state.admission.load()
+        self.mesh.carry(
+            self,
+            work.entry,
+            work.entry._attempt_ended,
+            work.life,
+            work.call_id,
+            work.attempt,
+            failure,
+            load,
+            answer,
+        )
+
+    def _attempt_ended(
+        self,
+        life: int,
+        call_id: int,
+        attempt: int,
+        failure: outcome.Failure | None,
+        load: outcome.Load | None,
+        answer: int,
+    ) -> None:
+        if life != self.life or not self.alive:
+            return
+        call = self.state.calls.get(call_id)
+        wanted = call is not None and attempt in call.attempts
+        self.feed(
+            events.AttemptEnded,
+            call_id=call_id,
+            attempt=attempt,
+            failure=failure,
+            load=load,
+        )
+        if failure is None and wanted:
+            self._whole(self.mesh.calls[call_id], answer)
+
+    def _whole(self, record: CallRecord, answer: int) -> None:
+        self.mesh.end(record, answer=answer)
+        if record.key:
+            self.feed(
+                events.KeyedAnswer,
+                call_id=record.number,
+                status=200,
+                headers=(),
+                body=str(answer).encode(),
+            )
+
+    def _refuse(self, effect: effects.Refuse) -> None:
+        work = self.works.pop(effect.call_id, None)
+        if work is not None:
+            self._send_end(work, effect.failure, 0)
+            return
+        record = self.mesh.calls.get(effect.call_id)
+        if record is not None:
+            self.mesh.end(record, failure=effect.failure)
+
+
+class CallMesh(fake_mesh.FakeMesh):
+    """A fake mesh that carries calls."""
+
+    node_class = CallNode
+
+    def __init__(self, *, seed: int, faults: Any = None):
+        super().__init__(seed=seed, faults=faults)
+        self.calls: dict[int, CallRecord] = {}
+        self.runs_by_key: collections.Counter[str] = collections.Counter()
+        self._last_number = 0
+
+    def next_number(self) -> int:
+        """Return a number that no other call has."""
+        self._last_number += 1
+        return self._last_number
+
+    def call(
+        self,
+        name: str,
+        *,
+        path: str = "/lots",
+        key: str = "",
+        timeout_s: float | None = None,
+    ) -> CallRecord:
+        """Make a call at a node."""
+        node = self.nodes[name]
+        record = CallRecord(
+            number=self.next_number(),
+            entry=name,
+            kind=path,
+            idempotent=path.startswith("/lots"),
+            key=key,
+            arrived_s=self.now_s,
+        )
+        self.calls[record.number] = record
+        node.feed(
+            events.CallArrived,
+            call_id=record.number,
+            service="shop",
+            method="GET" if record.idempotent else "POST",
+            path=path,
+            timeout_s=timeout_s,
+            key=key or None,
+            fingerprint=b"f",
+        )
+        return record
+
+    def carry(
+        self,
+        sender: CallNode,
+        target: CallNode,
+        call: Callable[..., None],
+        *args: Any,
+    ) -> None:
+        """Carry a message of a call; a lossy link breaks instead."""
+        delay_s = self.random.uniform(*fake_mesh.DELAY_S)
+        if sender.settings.data_centre != target.settings.data_centre:
+            delay_s += 0.008
+        lost = self.random.random() < self.faults.drop
+        if lost or self.is_cut(sender.name, target.name):
+            self.at(delay_s, self._break_link, sender, target)
+            self.at(delay_s, self._break_link, target, sender)
+            return
+        self.at(delay_s, call, *args)
+
+    def _break_link(self, node: CallNode, other: CallNode) -> None:
+        """Tell a node that its link to another broke."""
+        if not node.alive:
+            return
+        node.feed(events.LinkLost, instance=other.name)
+        for call_id, call in list(node.state.calls.items()):
+            for attempt, item in list(call.attempts.items()):
+                if item.instance == other.name:
+                    node._attempt_ended(
+                        node.life, call_id, attempt, _LINK_LOST, None, 0
+                    )
+
+    def end(
+        self,
+        record: CallRecord,
+        *,
+        answer: int | None = None,
+        failure: outcome.Failure | None = None,
+    ) -> None:
+        """Enter a call's final answer; there is only one."""
+        assert record.ended_s is None, "a call got two final answers"
+        record.ended_s = self.now_s
+        record.answer = answer
+        record.failure = failure
+
+    def check(self, node: fake_mesh.FakeNode) -> None:
+        """Check what must hold of a node after each of its events."""
+        super().check(node)
+        admission = node.state.admission
+        assert len(admission.in_progress) <= max(admission.slots, 0), "slots"
+        assert admission.queued <= admission.queue_limit, "I10: queue"
+
+    def check_finals(self) -> None:
+        """Compare all final answers with what the upstreams ran."""
+        for record in self.calls.values():
+            entry = self.nodes[record.entry]
+            if record.failure is not None:
+                if record.failure.outcome is NOT_RUN:
+                    assert record.runs == 0, "I5: said not run, but ran"
+            elif record.answer is not None and not record.key:
+                assert record.answer == record.number, "I4: other's answer"
+            if not record.idempotent:
+                assert record.runs <= 1, "I6: ran twice"
+            assert record.ended_s is not None or entry.life > 1, "no final"
+        for key, runs in self.runs_by_key.items():
+            assert runs <= 1, f"I6: key {key} ran {runs} times"
+        for node in self.nodes.values():
+            assert node.dispatched_after_drain == 0, "I7: work after drain"
+
+
+_LINK_LOST = outcome.Failure(outcome=UNKNOWN, reason=outcome.Reason.LINK_LOST)
+_BROKEN = outcome.Failure(
+    outcome=UNKNOWN, reason=outcome.Reason.UPSTREAM_BROKE_OFF
+)
+_CANCELLED = outcome.Failure(outcome=UNKNOWN, reason=outcome.Reason.CANCELLED)
+
+
+def make_shop(
+    *,
+    seed_number: int,
+    nodes: int = 4,
+    slots: int = 3,
+    entries: int = 1,
+    deadline_s: float = 2.0,
+    queue_limit: int = 256,
+    extra_routes: tuple[Any, ...] = (),
+) -> CallMesh:
+    """Return a mesh of one voter and owners of the service "shop"."""
+    mesh = CallMesh(seed=seed_number)
+    names = [f"o{number}" for number in range(nodes)]
+    doors = [f"e{number}" for number in range(entries)]
+    seeds = tuple(fake_mesh.seed(name) for name in ("v0", *names, *doors))
+    mesh.add("v0", disk=True, seeds=seeds, voters=("v0",))
+    for name in (*names, *doors):
+        mesh.add(
+            name,
+            disk=False,
+            seeds=seeds,
+            voters=("v0",),
+            queue_limit=queue_limit,
+        )
+    for node in mesh.nodes.values():
+        node.start()
+    mesh.run(4)
+    catalog = fake_mesh.make_shop_catalog(deadline_s, extra_routes)
+    mesh.submit("v0", catalog)
+    for name in names:
+        mesh.nodes[name].announce(slots)
+    mesh.run(4)
+    return mesh
+
+
+assert ledger  # The ledger's commands are registered by this import.
--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -147,6 +147,8 @@
 class FakeMesh:
     """The nodes, the network between them and the oracle."""
 
+    node_class = FakeNode
+
     def __init__(self, *, seed: int, faults: Faults | None = None):
         self.random = random.Random(seed)
         self.faults = faults or Faults()
@@ -183,7 +185,7 @@
             bootstrap_voters=voters,
             **limits,
         )
-        self.nodes[name] = FakeNode(mesh=self, settings=settings)
+        self.nodes[name] = self.node_class(mesh=self, settings=settings)
         return self.nodes[name]
 
     def wall_ms(self) -> int:
@@ -403,6 +405,25 @@
     return catalog_lib.Route(**{**fields, **changes})
 
 
+def make_shop_catalog(
+    deadline_s: float, extra_routes: tuple[catalog_lib.Route, ...] = ()
+) -> catalog_lib.Catalog:
+    """Return a shop with idempotent lots and payments that run once."""
+    routes = (
+        make_route(path="/lots", methods=("GET",), deadline_s=deadline_s),
+        make_route(
+            path="/payments",
+            methods=("POST",),
+            idempotent=False,
+            deadline_s=deadline_s,
+            priority=catalog_lib.Priority.CRITICAL,
+        ),
+        *extra_routes,
+    )
+    shop = catalog_lib.Service(name="shop", depends_on=(), routes=routes)
+    return catalog_lib.Catalog(version=1, services={"shop": shop})
+
+
 def make_group(
     count: int, *, seed_number: int = 1, faults: Faults | None = None
 ) -> FakeMesh:
