--- /dev/null
+++ b/benchmarks/bulk.py
@@ -0,0 +1,114 @@
+"""Memory while a large body passes, and short calls beside it."""
+
+import pathlib
+import threading
+import time
+
+import anyio
+
+from benchmarks import fleet as fleet_lib
+from benchmarks import histogram
+from benchmarks import hop
+from monsoonpass.standin import local_mesh
+
+TEXT = hop.TEXT.replace(
+    "      - path: /\n",
+    "      - path: /photos\n        idempotent: true\n        size: bulk\n"
+    "        deadline: 120s\n      - path: /\n",
+)
+SAMPLE_S = 0.02
+
+
+class MemoryWatch(threading.Thread):
+    """Samples the resident memory of daemons until stopped."""
+
+    def __init__(self, *, fleet: fleet_lib.Fleet):
+        super().__init__(daemon=True)
+        self._fleet = fleet
+        self._ended = threading.Event()
+        self.most = {node.name: 0 for node in fleet.nodes}
+
+    def run(self) -> None:
+        """Sample until stopped."""
+        while not self._ended.wait(SAMPLE_S):
+            for node in self._fleet.nodes:
+                now_bytes = self._fleet.memory_bytes(node)
+                self.most[node.name] = max(self.most[node.name], now_bytes)
+
+    def stop(self) -> None:
+        """End the sampling."""
+        self._ended.set()
+        self.join()
+
+
+async def _fetch(port: int, size_bytes: int) -> int:
+    """Fetch a large body; return how many bytes came."""
+    stream = await anyio.connect_tcp("127.0.0.1", port)
+    await stream.send(
+        b"GET /photos/1?ms=0&bytes=%d HTTP/1.1\r\nhost: shop\r\n"
+        b"connection: close\r\n\r\n" % size_bytes
+    )
+    received = 0
+    while True:
+        try:
+            received += len(await stream.receive(1 << 18))
+        except anyio.EndOfStream:
+            return received
+
+
+async def _short_beside(
+    port: int, size_bytes: int, calls: int
+) -> tuple[list[float], int, float]:
+    """Make short calls while a large body passes on another connection."""
+    received = 0
+    latencies: list[float] = []
+    started_s = time.perf_counter()
+    took_s = 0.0
+
+    async def fetch() -> None:
+        nonlocal received, took_s
+        received = await _fetch(port, size_bytes)
+        took_s = time.perf_counter() - started_s
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(fetch)
+        await anyio.sleep(0.2)
+        latencies = await hop.make_calls(port, "shop", calls, 0.005)
+    return latencies, received, took_s
+
+
+def run(options: dict[str, str], folder: pathlib.Path) -> dict[str, object]:
+    """Pass a large body through two nodes beside short calls."""
+    size_bytes = int(options["megabytes"]) * 1_000_000
+    calls = int(options["calls"])
+    places = (
+        local_mesh.Place(instance="entry"),
+        local_mesh.Place(instance="owner", service="shop"),
+    )
+    with (
+        fleet_lib.Upstream() as upstream,
+        fleet_lib.Fleet(
+            places=places, voters=["owner"], folder=folder
+        ) as fleet,
+    ):
+        entry, owner = fleet.nodes
+        fleet.announce(owner, upstream.port, slots=64)
+        fleet.submit(owner, TEXT)
+        time.sleep(2.0)
+        alone = anyio.run(hop.make_calls, entry.callers, "shop", calls, 0.005)
+        before = {n.name: fleet.memory_bytes(n) for n in fleet.nodes}
+        watch = MemoryWatch(fleet=fleet)
+        watch.start()
+        beside, received, took_s = anyio.run(
+            _short_beside, entry.callers, size_bytes, calls
+        )
+        watch.stop()
+    result = histogram.compare(
+        {"alone": alone, "beside": beside}, baseline="alone"
+    )
+    result["whole"] = received > size_bytes
+    result["megabytes_per_s"] = round(size_bytes / took_s / 1e6, 1)
+    for name, most in watch.most.items():
+        grown = (most - before[name]) / 1e6
+        result[f"{name}_memory_grew_mb"] = round(grown, 1)
+    return result
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -44,6 +44,7 @@
         self.http = httpx.Client(timeout=15.0)
 
     def __enter__(self) -> "Fleet":
+        self._folder.mkdir(parents=True, exist_ok=True)
         for node in self.nodes:
             self.start(node)
         for node in self.nodes:
@@ -67,6 +68,19 @@
             stderr=subprocess.DEVNULL,
         )
 
+    def announce(
+        self, node: local_mesh.LocalNode, port: int, *, slots: int
+    ) -> None:
+        """Announce a node's upstream to it."""
+        self.http.post(
+            f"{node.operator_url}/v1/upstream",
+            json={
+                "service": node.place.service,
+                "slots": slots,
+                "port": port,
+            },
+        )
+
     def kill(self, node: local_mesh.LocalNode) -> None:
         """Kill a node's daemon at once."""
         self.processes[node.name].kill()
@@ -134,3 +148,27 @@
             except httpx.HTTPError:
                 time.sleep(0.05)
         raise TimeoutError(f"{node.name} did not start")
+
+
+class Upstream:
+    """A stand-in upstream in a process of its own; a context manager.
+
+    Attributes:
+        port: Where it listens.
+    """
+
+    def __init__(self) -> None:
+        self.port = 0
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def __enter__(self) -> "Upstream":
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "monsoonpass.standin"],
+            stdout=subprocess.PIPE,
+        )
+        self.port = int(self._process.stdout.readline())
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        self._process.kill()
+        self._process.wait()
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -1,8 +1,6 @@
 """Latency that the mesh adds to a call: direct path and one hop."""
 
 import pathlib
-import subprocess
-import sys
 import time
 
 import anyio
@@ -23,24 +21,48 @@
 """
 
 
-async def _calls(port: int, host: str, count: int, pause_s: float) -> list:
-    """Return the latencies of calls on one connection, in seconds."""
+async def make_calls(
+    port: int,
+    host: str,
+    count: int,
+    pause_s: float,
+    *,
+    method: str = "GET",
+    key_prefix: str = "",
+) -> list[float]:
+    """Make calls one after another on one connection.
+
+    Args:
+        port: Port on loopback.
+        host: Service called.
+        count: Number of calls.
+        pause_s: Pause after each call.
+        method: HTTP method.
+        key_prefix: Begins the idempotency keys; empty for none.
+
+    Returns:
+        The latency of each call, in seconds.
+    """
     connection = h11.Connection(h11.CLIENT)
     stream = await anyio.connect_tcp("127.0.0.1", port)
     latencies = []
-    for _ in range(count):
+    for number in range(count):
+        headers = [("host", host)]
+        if key_prefix:
+            headers.append(("idempotency-key", f"{key_prefix}-{number}"))
         started_s = time.perf_counter()
-        data = connection.send(
-            h11.Request(
-                method="GET", target="/lots?ms=0", headers=[("host", host)]
-            )
+        request = h11.Request(
+            method=method, target="/lots?ms=0", headers=headers
         )
+        data = connection.send(request)
         data += connection.send(h11.EndOfMessage())
         await stream.send(data)
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 connection.receive_data(await stream.receive())
+            elif isinstance(event, h11.Response):
+                assert event.status_code == 200, event
             elif isinstance(event, h11.EndOfMessage):
                 break
         connection.start_next_cycle()
@@ -60,37 +82,24 @@
         local_mesh.Place(instance="entry"),
         local_mesh.Place(instance="owner", service="shop"),
     )
-    upstream = subprocess.Popen(
-        [sys.executable, "-m", "monsoonpass.standin"], stdout=subprocess.PIPE
-    )
-    try:
-        port = int(upstream.stdout.readline())
-        with fleet_lib.Fleet(
+    found: dict[str, list[float]] = {}
+    with (
+        fleet_lib.Upstream() as upstream,
+        fleet_lib.Fleet(
             places=places, voters=["owner"], folder=folder
-        ) as fleet:
-            entry, owner = fleet.nodes
-            fleet.http.post(
-                f"{owner.operator_url}/v1/upstream",
-                json={"service": "shop", "slots": 64, "port": port},
-            )
-            fleet.submit(owner, TEXT)
-            time.sleep(2.0)
-            found: dict[str, list[float]] = {
-                "none": [],
-                "direct": [],
-                "hop": [],
-            }
-            for _ in range(rounds):
-                for name, target in (
-                    ("none", port),
-                    ("direct", owner.callers),
-                    ("hop", entry.callers),
-                ):
-                    latencies = anyio.run(
-                        _calls, target, "shop", count, pause_s
-                    )
-                    found.setdefault(name, []).extend(latencies)
-    finally:
-        upstream.kill()
-        upstream.wait()
+        ) as fleet,
+    ):
+        entry, owner = fleet.nodes
+        fleet.announce(owner, upstream.port, slots=64)
+        fleet.submit(owner, TEXT)
+        time.sleep(2.0)
+        targets = {
+            "none": upstream.port,
+            "direct": owner.callers,
+            "hop": entry.callers,
+        }
+        for _ in range(rounds):
+            for name, port in targets.items():
+                latencies = anyio.run(make_calls, port, "shop", count, pause_s)
+                found.setdefault(name, []).extend(latencies)
     return histogram.compare(found, baseline="none")
--- /dev/null
+++ b/benchmarks/keys.py
@@ -0,0 +1,71 @@
+"""What an idempotency key costs a call, and how many fit in a second."""
+
+import pathlib
+import time
+
+import anyio
+
+from benchmarks import fleet as fleet_lib
+from benchmarks import histogram
+from benchmarks import hop
+from monsoonpass.standin import local_mesh
+
+TEXT = hop.TEXT.replace("idempotent: true", "idempotent: false")
+
+
+async def _pay(
+    port: int, count: int, connections: int, prefix: str
+) -> tuple[list[float], float]:
+    """Make calls on some connections, with keys if there is a prefix.
+
+    Returns:
+        Latencies in seconds, and how long all took.
+    """
+    latencies: list[float] = []
+
+    async def work(number: int) -> None:
+        latencies.extend(
+            await hop.make_calls(
+                port,
+                "shop",
+                count // connections,
+                0.0,
+                method="POST",
+                key_prefix=f"{prefix}-{number}" if prefix else "",
+            )
+        )
+
+    begin_s = time.perf_counter()
+    async with anyio.create_task_group() as group:
+        for number in range(connections):
+            group.start_soon(work, number)
+    return latencies, time.perf_counter() - begin_s
+
+
+def run(options: dict[str, str], folder: pathlib.Path) -> dict[str, object]:
+    """Measure calls without and with keys, one by one and many at once."""
+    count = int(options["calls"])
+    connections = int(options["connections"])
+    names = ("v0", "v1", "v2")
+    places = [local_mesh.Place(instance=name) for name in names]
+    places.append(local_mesh.Place(instance="owner", service="shop"))
+    with (
+        fleet_lib.Upstream() as upstream,
+        fleet_lib.Fleet(places=places, voters=names, folder=folder) as fleet,
+    ):
+        owner = fleet.nodes[3]
+        fleet.announce(owner, upstream.port, slots=64)
+        fleet.submit(owner, TEXT)
+        time.sleep(2.0)
+        port = owner.callers
+        plain, _ = anyio.run(_pay, port, count, 1, "")
+        keyed, _ = anyio.run(_pay, port, count, 1, "one")
+        _, plain_s = anyio.run(_pay, port, count * 8, connections, "")
+        _, keyed_s = anyio.run(_pay, port, count * 8, connections, "many")
+    return {
+        **histogram.compare(
+            {"without": plain, "with": keyed}, baseline="without"
+        ),
+        "without_per_s": round(count * 8 / plain_s),
+        "with_per_s": round(count * 8 / keyed_s),
+    }
--- a/src/monsoonpass/border/operator_text.py
+++ b/src/monsoonpass/border/operator_text.py
@@ -141,12 +141,8 @@
     if len(text.encode()) > TEXT_MAX_BYTES:
         raise _single(1, f"the text is longer than {TEXT_MAX_BYTES} bytes")
     try:
-        for event in yaml.parse(text, Loader=_LOADER):
-            if isinstance(event, yaml.AliasEvent) or getattr(
-                event, "anchor", None
-            ):
-                line = event.start_mark.line + 1
-                raise _single(line, "anchors and aliases are not allowed")
+        if "&" in text or "*" in text:
+            _refuse_anchors(text)
         root = yaml.compose(text, Loader=_LOADER)
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark or error.context_mark
@@ -159,6 +155,15 @@
     return root
 
 
+def _refuse_anchors(text: str) -> None:
+    """Raise an error at the first anchor or alias, which could expand."""
+    for event in yaml.parse(text, Loader=_LOADER):
+        is_alias = isinstance(event, yaml.AliasEvent)
+        if is_alias or getattr(event, "anchor", None):
+            line = event.start_mark.line + 1
+            raise _single(line, "anchors and aliases are not allowed")
+
+
 def _plain(node: yaml.Node, issues: list[errors.Issue]) -> Any:
     """Turn a node into plain values; report keys that stand twice."""
     if isinstance(node, yaml.MappingNode):
--- a/src/monsoonpass/core/admission.py
+++ b/src/monsoonpass/core/admission.py
@@ -21,6 +21,8 @@
 RETRY_AFTER_MIN_S = 0.05
 ROUTES_MAX = 4096
 REROUTE_WAIT_SHARE = 0.1
+MEDIAN_EVERY = 32
+MEDIAN_DECAY = 0.8
 SLOW_START_S = 5.0
 SLOW_START_SHARE = 0.25
 
@@ -80,10 +82,17 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RouteTimes:
-    """What was learned of a route's service time."""
+    """What was learned of a route's service time.
+
+    Attributes:
+        mean_s: Smoothed service time.
+        count: Calls that it was learned from.
+        recent: Calls lately, for the median over all routes.
+    """
 
     mean_s: float
     count: int = 0
+    recent: float = 0.0
 
 
 class Admission:
@@ -110,6 +119,7 @@
         self._queue: list[tuple[tuple[int, float, int], Work]] = []
         self._routes: dict[str, RouteTimes] = {}
         self._short_s = DEFAULT_SERVICE_TIME_S
+        self._learned = 0
         self._mean_s = DEFAULT_SERVICE_TIME_S
         self._short_rate = 0.0
         self._short_seen = 0
@@ -341,9 +351,26 @@
         # A straggler must not make its whole route look long.
         sample_s = min(service_time_s, 3.0 * times.mean_s)
         times.mean_s += SMOOTHING * (sample_s - times.mean_s)
+        times.recent += 1.0
         self._mean_s += SMOOTHING * (service_time_s - self._mean_s)
-        if not work.is_long:
-            self._short_s += SMOOTHING * (sample_s - self._short_s)
+        self._learned += 1
+        if self._learned % MEDIAN_EVERY == 0 or self._learned < MEDIAN_EVERY:
+            self._update_median()
+
+    def _update_median(self) -> None:
+        """Take the usual service time from the median of recent calls.
+
+        A mean would follow the long work that it is meant to tell apart.
+        """
+        ordered = sorted(self._routes.values(), key=lambda t: t.mean_s)
+        left = sum(times.recent for times in ordered) / 2.0
+        for times in ordered:
+            left -= times.recent
+            if left <= 0.0:
+                self._short_s = times.mean_s
+                break
+        for times in ordered:
+            times.recent *= MEDIAN_DECAY
 
     def _count_arrival(self, work: Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
--- a/src/monsoonpass/core/calls.py
+++ b/src/monsoonpass/core/calls.py
@@ -202,7 +202,7 @@
         return []
     _learn(state, event, call, attempt)
     if event.failure is None:
-        return _complete(state, call, event.attempt)
+        return _complete(state, event, call, event.attempt)
     return _attempt_failed(state, event, call, attempt, event.failure)
 
 
@@ -241,7 +241,7 @@
     if event.failure is None:
         latency_s = event.now_s - attempt.started_s
         state.routing.median(call.route_name).add(latency_s)
-        return result + _complete(state, call, attempt_number)
+        return result + _complete(state, event, call, attempt_number)
     return result + _attempt_failed(state, event, call, attempt, event.failure)
 
 
@@ -648,16 +648,14 @@
 
 
 def _complete(
-    state: node.Node, call: Call, number: int
+    state: node.Node, event: events.Event, call: Call, number: int
 ) -> list[effects.Effect]:
+    """Forget an answered call and cancel its other attempts."""
     del state.calls[call.call_id]
-    cancels: list[effects.Effect] = []
-    for other in call.attempts:
-        if other != number:
-            cancels.append(
-                effects.CancelForward(call_id=call.call_id, attempt=other)
-            )
-    return [*cancels, *_forget_timers(call)]
+    return [
+        *_cancel_others(state, event, call, number),
+        *_forget_timers(call),
+    ]
 
 
 def _cancel_others(
--- a/src/monsoonpass/core/distribution.py
+++ b/src/monsoonpass/core/distribution.py
@@ -226,8 +226,14 @@
     if not message.confirmed:
         return _follow_hint(state, event, message.leader)
     result = submission.leader_confirmed(state, event)
-    if message.version <= config.version:
+    if message.version <= config.version and not config.ready:
         config.ready = True
+        result.append(
+            effects.Log(
+                code=logbook.Code.COLD_START_READ,
+                fields={"version": config.version},
+            )
+        )
     if config.ready:
         result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
     if message.version > config.newest.version:
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -230,6 +230,7 @@
         )
         self.links.setdefault(instance, []).append(link)
         self._metrics.links.inc()
+        self._logger.write(logbook.Code.LINK_UP, peer=instance)
         for message in self._backlog.pop(instance, []):
             self.send_on(link, message)
         if self._link_opened is not None:
@@ -254,6 +255,7 @@
             self._link_gone(instance, link)
         if not links:
             del self.links[instance]
+            self._logger.write(logbook.Code.LINK_LOST, peer=instance)
             self._engine.feed(events.LinkLost, instance=instance)
 
     def _received(self, link: link_lib.Link, message: Any) -> None:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,141 @@
+"""Tests of admission: slots, classes, priorities and early refusal."""
+
+from monsoonpass.core import admission
+from monsoonpass.core import outcome
+
+
+def make(slots: int = 4, queue_limit: int = 8) -> admission.Admission:
+    """Return an admission with an announced upstream."""
+    made = admission.Admission(queue_limit=queue_limit)
+    made.announce(service="shop", slots=slots, cold=False, now_s=0.0)
+    return made
+
+
+def work(number: int, **changes) -> admission.Work:
+    """Return work with a distant deadline."""
+    fields = {
+        "work_id": number,
+        "priority": 2,
+        "deadline_s": 1000.0,
+        "bulk": False,
+        "route": "short",
+        "arrived_s": 0.0,
+    }
+    return admission.Work(**{**fields, **changes})
+
+
+def teach(
+    own: admission.Admission, route: str, service_s: float, calls: int = 60
+) -> None:
+    """Let an admission learn a route's service time."""
+    for number in range(1000, 1000 + calls):
+        own.offer(work(number, route=route), 0.0)
+        own.finish(number, service_time_s=service_s, ok=True, now_s=0.0)
+
+
+class TestSlots:
+    def test_no_more_run_than_there_are_slots(self):
+        own = make(slots=4)
+        dispatched = []
+        for number in range(10):
+            dispatched += own.offer(work(number), 0.0).dispatch
+        assert len(dispatched) == 4
+        assert own.queued == 6
+
+    def test_finished_call_makes_room_for_the_next(self):
+        own = make(slots=1)
+        own.offer(work(1), 0.0)
+        own.offer(work(2), 0.0)
+        decision = own.finish(1, service_time_s=0.01, ok=True, now_s=0.01)
+        assert [w.work_id for w in decision.dispatch] == [2]
+
+    def test_cold_upstream_gets_its_slots_step_by_step(self):
+        own = admission.Admission()
+        own.announce(service="shop", slots=8, cold=True, now_s=0.0)
+        for number in range(8):
+            own.offer(work(number), 0.0)
+        assert len(own.in_progress) == 2
+        for number in range(8, 10):
+            own.offer(work(number), admission.SLOW_START_S)
+        assert len(own.in_progress) == 8
+
+
+class TestOrder:
+    def test_priority_then_deadline(self):
+        own = make(slots=1)
+        own.offer(work(0), 0.0)
+        own.offer(work(1, priority=2, deadline_s=500.0), 0.0)
+        own.offer(work(2, priority=2, deadline_s=400.0), 0.0)
+        own.offer(work(3, priority=0), 0.0)
+        order = []
+        for _ in range(3):
+            running = next(iter(own.in_progress))
+            decision = own.finish(
+                running, service_time_s=0.01, ok=True, now_s=0.1
+            )
+            order += [w.work_id for w in decision.dispatch]
+        assert order == [3, 2, 1]
+
+    def test_full_queue_gives_up_the_last_in_order(self):
+        own = make(slots=1, queue_limit=2)
+        for number in range(3):
+            own.offer(work(number), 0.0)
+        decision = own.offer(work(9, priority=0), 0.0)
+        assert [r.work.work_id for r in decision.refused] == [2]
+        failure = decision.refused[0].failure
+        assert failure.outcome is outcome.Outcome.NOT_RUN
+        assert failure.retry_after_s > 0
+
+
+class TestRefusal:
+    def test_call_that_cannot_be_in_time_is_refused_at_once(self):
+        own = make(slots=1)
+        teach(own, "short", 1.0)
+        own.offer(work(1), 0.0)
+        decision = own.offer(work(2, deadline_s=0.5), 0.0)
+        assert [r.work.work_id for r in decision.refused] == [2]
+
+    def test_waiting_call_is_refused_when_it_becomes_too_late(self):
+        own = make(slots=1)
+        own.offer(work(1), 0.0)
+        own.offer(work(2, deadline_s=5.0), 0.0)
+        assert own.expire(4.0).refused == []
+        assert [r.work.work_id for r in own.expire(6.0).refused] == [2]
+
+    def test_reroutable_call_is_refused_instead_of_queued(self):
+        """Guard: `work.reroutable and wait_s >` in Admission.offer."""
+        own = make(slots=1)
+        own.offer(work(1), 0.0)
+        decision = own.offer(work(2, reroutable=True), 0.0)
+        reason = decision.refused[0].failure.reason
+        assert reason is outcome.Reason.BUSY
+
+
+class TestLongWork:
+    def test_long_work_leaves_room_for_short(self):
+        """Guard: `if work.is_long and long_room <= 0` in _fill_slots."""
+        own = make(slots=4, queue_limit=100)
+        teach(own, "short", 0.01, calls=200)
+        teach(own, "long", 1.0, calls=20)
+        for number in range(20):
+            own.offer(work(number, route="long"), 1.0)
+        assert 1 <= len(own.in_progress) <= 3
+        decision = own.offer(work(50, route="short"), 1.0)
+        assert [w.work_id for w in decision.dispatch] == [50]
+
+    def test_stragglers_of_a_short_route_count_as_long(self):
+        own = make(slots=4, queue_limit=100)
+        teach(own, "short", 0.01, calls=200)
+        teach(own, "long", 1.0, calls=20)
+        for number in range(3):
+            own.offer(work(number, route="short"), 1.0)
+        decision = own.offer(work(60, route="long"), 2.0)
+        assert decision.dispatch == []
+        decision = own.offer(work(61, route="short"), 2.0)
+        assert [w.work_id for w in decision.dispatch] == [61]
+
+    def test_declared_bulk_counts_until_the_time_is_known(self):
+        own = make()
+        assert own.is_long(work(1, bulk=True, route="new"))
+        teach(own, "new", 0.01)
+        assert not own.is_long(work(2, bulk=True, route="new"))
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,90 @@
+"""Tests of configurations: closed, whole, and changed on exact bases."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from monsoonpass import errors
+from monsoonpass.core import catalog as catalog_lib
+from tests import fake_mesh
+
+NAMES = st.lists(st.sampled_from("abcdef"), min_size=1, unique=True)
+
+
+class TestClosed:
+    def test_unknown_dependency_is_refused(self):
+        """I2. Guard: `raise errors.NotClosedError` in Catalog.__init__."""
+        whole = fake_mesh.make_catalog(1, "a", "b")
+        with pytest.raises(errors.NotClosedError):
+            catalog_lib.Catalog(version=1, services={"b": whole.services["b"]})
+
+    def test_delta_that_would_leave_a_gap_is_refused(self):
+        base = fake_mesh.make_catalog(1, "a", "b")
+        delta = dataclasses.replace(
+            base.delta_to(fake_mesh.make_catalog(2, "a")), removed=("a",)
+        )
+        with pytest.raises(errors.NotClosedError):
+            base.apply(delta)
+
+
+class TestDelta:
+    @hypothesis.given(NAMES, NAMES)
+    def test_delta_leads_from_any_content_to_any_other(self, old, new):
+        base = fake_mesh.make_catalog(1, *old)
+        target = fake_mesh.make_catalog(2, *new)
+        result = base.apply(base.delta_to(target))
+        assert result.services == target.services
+        assert result.digest == target.digest
+
+    def test_other_base_is_refused(self):
+        """I3. Guard: `raise errors.BaseMismatchError` in Catalog.apply."""
+        delta = fake_mesh.make_catalog(1, "a").delta_to(
+            fake_mesh.make_catalog(2, "a", "b")
+        )
+        with pytest.raises(errors.BaseMismatchError):
+            fake_mesh.make_catalog(1, "a", "c").apply(delta)
+
+    def test_damaged_content_is_refused(self):
+        """I3. Guard: the comparison in catalog._check_digest."""
+        base = fake_mesh.make_catalog(1, "a")
+        delta = base.delta_to(fake_mesh.make_catalog(2, "a", "b"))
+        damaged = dataclasses.replace(delta, changed=())
+        with pytest.raises(errors.DigestMismatchError):
+            base.apply(damaged)
+
+    def test_damaged_snapshot_is_refused(self):
+        snapshot = fake_mesh.make_catalog(1, "a", "b").snapshot()
+        damaged = dataclasses.replace(snapshot, services=snapshot.services[:1])
+        with pytest.raises(errors.DigestMismatchError):
+            catalog_lib.from_snapshot(damaged)
+
+
+class TestRoutes:
+    def find(self, path: str, method: str = "GET"):
+        """Return the path of the route found in a small shop."""
+        routes = tuple(
+            fake_mesh.make_route(path=p, methods=m)
+            for p, m in (
+                ("/", ()),
+                ("/lots", ("GET",)),
+                ("/lots/special", ("GET",)),
+            )
+        )
+        shop = catalog_lib.Service(name="s", depends_on=(), routes=routes)
+        found = catalog_lib.Catalog(version=1, services={"s": shop})
+        route = found.find_route("s", method, path)
+        return route.path if route else None
+
+    def test_longest_prefix_of_whole_segments_wins(self):
+        assert self.find("/lots/17") == "/lots"
+        assert self.find("/lots/special/1") == "/lots/special"
+        assert self.find("/lotsoff") == "/"
+
+    def test_method_must_fit(self):
+        assert self.find("/lots", "POST") == "/"
+
+    def test_unknown_service(self):
+        found = fake_mesh.make_catalog(1, "a")
+        assert found.find_route("b", "GET", "/") is None
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,52 @@
+"""Tests that the docs agree with the program."""
+
+import pathlib
+import re
+
+from tools import make_events_page
+
+from monsoonpass.border import operator_text
+from monsoonpass.core import logbook
+from monsoonpass.core import outcome
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class TestEventsPage:
+    def test_page_agrees_with_the_catalogue(self):
+        assert make_events_page.PAGE.read_text() == make_events_page.render()
+
+    def test_numbers_are_unique(self):
+        numbers = [code.number for code in logbook.Code]
+        assert len(numbers) == len(set(numbers))
+
+    def test_every_event_is_written_somewhere(self):
+        source = "".join(
+            path.read_text()
+            for path in (ROOT / "src").rglob("*.py")
+            if path.name != "logbook.py"
+        )
+        for code in logbook.Code:
+            assert f"Code.{code.name}" in source, f"{code.name} is not used"
+
+
+class TestExamples:
+    def test_examples_are_valid(self):
+        paths = sorted((ROOT / "examples").glob("*.yaml"))
+        assert len(paths) >= 2
+        for path in paths:
+            operator_text.compile_text(path.read_text())
+
+
+class TestOutcomePage:
+    def test_every_reason_is_explained(self):
+        page = (ROOT / "docs/operators/outcomes.md").read_text()
+        for reason in outcome.Reason:
+            assert f"`{reason}`" in page, f"{reason} is not explained"
+
+
+class TestLinks:
+    def test_links_between_pages_lead_somewhere(self):
+        for page in [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]:
+            for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+                assert (page.parent / target).exists(), f"{page}: {target}"
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers."""
