Split five grown modules by job; fetch the first version from a peer

Change: call, attempts, own_upstream, cold_start, formation and gossip hold one job each. A cold node fetches the content from a random peer of its data centre first, and from the voter that confirmed the version at its second attempt.

--- /dev/null
+++ b/src/monsoonpass/core/attempts.py
@@ -0,0 +1,333 @@
+"""Attempts of calls: where they are sent and what becomes of them.
+
+An attempt that was refused as "not run" may go elsewhere; one whose fate is
+unknown is tried again only if the route is idempotent. Idempotent calls that
+take unusually long are sent to a second instance too.
+"""
+
+import dataclasses
+
+from monsoonpass.core import admission
+from monsoonpass.core import call as call_lib
+from monsoonpass.core import directory
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import keyed_calls
+from monsoonpass.core import node
+from monsoonpass.core import outcome
+from monsoonpass.core import routing
+from monsoonpass.core import step
+
+ATTEMPTS_MAX = 4
+RETRY_AFTER_S = 1.0
+HOP_MARGIN_S = 0.005
+PARK_S = 0.5
+HEDGE_MIN_S = 0.005
+HEDGE_MIN_SAMPLES = 50
+HEDGE_FACTOR = 2.0
+Reason = outcome.Reason
+
+
+@step.expire.register
+def _(
+    timer: events.ParkTimeout, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return unparked(state, event, timer.service)
+
+
+@step.expire.register
+def _(
+    timer: events.Hedge, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    """Send a slow idempotent call to a second instance as well."""
+    call = state.calls.get(timer.call_id)
+    if call is None or call.answering or call.hedged or not call.attempts:
+        return []
+    if not state.routing.budget(call.service).withdraw():
+        return []
+    running = {attempt.instance for attempt in call.attempts.values()}
+    choice = routing.choose(state, event, call.service, call.tried | running)
+    own = state.settings.address.instance
+    if choice is None or choice.link_s or choice.instance == own:
+        return []
+    call.hedged = True
+    return _send(state, event, call, choice)
+
+
+@step.expire.register
+def _(
+    timer: events.QueueDeadline, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    decision = state.admission.expire(event.now_s)
+    return perform(state, event, decision)
+
+
+def perform(
+    state: node.Node, event: events.Event, decision: admission.Decision
+) -> list[effects.Effect]:
+    """Turn a decision of admission into effects.
+
+    Refused work of this node's own calls is tried elsewhere.
+    """
+    result: list[effects.Effect] = []
+    for work in decision.dispatch:
+        call = state.calls.get(work.work_id)
+        if call is not None:
+            call.touched = True
+        timeout_s = max(work.deadline_s - event.now_s, 0.001)
+        result.append(
+            effects.Dispatch(work_id=work.work_id, timeout_s=timeout_s)
+        )
+    for refused in decision.refused:
+        work_id = refused.work.work_id
+        call = state.calls.get(work_id)
+        if call is None:
+            state.peer_works.pop(work_id, None)
+            result += refuse(state, event, work_id, refused.failure)
+            continue
+        number = own_attempt(state, call)
+        attempt = call.attempts.pop(number)
+        result += attempt_failed(state, event, call, attempt, refused.failure)
+    return result + _watch_queue(state, event)
+
+
+def unparked(
+    state: node.Node, event: events.Event, service: str
+) -> list[effects.Effect]:
+    """Try the calls that waited for a service's remote endpoints."""
+    parked = state.routing.parked.pop(service, [])
+    if not parked:
+        return []
+    result: list[effects.Effect] = [
+        effects.CancelTimer(timer=events.ParkTimeout(service=service))
+    ]
+    for call_id in parked:
+        call = state.calls.get(call_id)
+        if call is not None and not call.attempts:
+            failure = call_lib.not_run(Reason.NO_UPSTREAM, RETRY_AFTER_S)
+            result += try_next(state, event, call, failure, may_park=False)
+    return result
+
+
+def link_lost(state: node.Node, event: events.LinkLost) -> list[effects.Effect]:
+    """Stop choosing an instance whose node cannot be reached."""
+    state.routing.unreachable(event.instance, event.now_s)
+    return []
+
+
+def try_next(
+    state: node.Node,
+    event: events.Event,
+    call: call_lib.Call,
+    failure: outcome.Failure,
+    *,
+    may_park: bool = True,
+) -> list[effects.Effect]:
+    """Send a call to the next instance, or give it its final failure."""
+    choice = routing.choose(state, event, call.service, call.tried)
+    if choice is not None:
+        return _send(state, event, call, choice)
+    informed = directory.is_informed(state, event, call.service)
+    if not may_park or call.tried or informed:
+        return refuse(state, event, call.call_id, failure)
+    state.routing.parked.setdefault(call.service, []).append(call.call_id)
+    timer = events.ParkTimeout(service=call.service)
+    return [
+        effects.SetTimer(timer=timer, delay_s=PARK_S),
+        *directory.ask(state, event, call.service),
+    ]
+
+
+def _send(
+    state: node.Node,
+    event: events.Event,
+    call: call_lib.Call,
+    choice: routing.Candidate,
+) -> list[effects.Effect]:
+    call.attempt_count += 1
+    number = call.attempt_count
+    call.attempts[number] = call_lib.Attempt(
+        instance=choice.instance, started_s=event.now_s
+    )
+    if choice.instance == state.settings.address.instance:
+        work = admission.Work(
+            work_id=call.call_id,
+            priority=call.route.priority,
+            deadline_s=call.deadline_s,
+            bulk=call.route.bulk,
+            route=call.route_name,
+            arrived_s=event.now_s,
+            reroutable=choice.reroutable and number == 1,
+        )
+        decision = state.admission.offer(work, event.now_s)
+        return [*perform(state, event, decision), *_arm_hedge(state, call)]
+    state.routing.sent(choice.instance, event.now_s)
+    left_s = call.deadline_s - event.now_s - choice.link_s - HOP_MARGIN_S
+    forward = effects.Forward(
+        call_id=call.call_id,
+        attempt=number,
+        to=choice.address,
+        timeout_s=max(left_s, 0.001),
+        route=call.route_name,
+        bulk=call.route.bulk,
+        idempotent=call.route.idempotent,
+        priority=call.route.priority,
+        reroutable=choice.reroutable and number == 1,
+    )
+    return [forward, *_arm_hedge(state, call)]
+
+
+def _arm_hedge(state: node.Node, call: call_lib.Call) -> list[effects.Effect]:
+    if not call.route.idempotent or call.route.bulk or call.hedged:
+        return []
+    median = state.routing.median(call.route_name)
+    if median.count < HEDGE_MIN_SAMPLES or call.call_id not in state.calls:
+        return []
+    delay_s = max(median.value_s * HEDGE_FACTOR, HEDGE_MIN_S)
+    timer = events.Hedge(call_id=call.call_id)
+    return [effects.SetTimer(timer=timer, delay_s=delay_s)]
+
+
+def attempt_failed(
+    state: node.Node,
+    event: events.Event,
+    call: call_lib.Call,
+    attempt: call_lib.Attempt,
+    failure: outcome.Failure,
+) -> list[effects.Effect]:
+    """Try again where that is safe and useful, else tell the caller."""
+    call.tried.add(attempt.instance)
+    ran = failure.outcome is not call_lib.NOT_RUN
+    call.touched = call.touched or ran
+    if call.attempts:
+        # The hedge, or the attempt that it was meant for, still runs.
+        return []
+    may_repeat = call.route.idempotent or not call.touched
+    has_time = event.now_s < call.deadline_s
+    started = call.answering != 0
+    if (
+        not started
+        and may_repeat
+        and has_time
+        and call.attempt_count < ATTEMPTS_MAX
+        and (
+            failure.reason is Reason.BUSY
+            or state.routing.budget(call.service).withdraw()
+        )
+    ):
+        return try_next(
+            state, event, call, final(call, failure), may_park=False
+        )
+    return refuse(state, event, call.call_id, final(call, failure))
+
+
+def final(call: call_lib.Call, failure: outcome.Failure) -> outcome.Failure:
+    """Return the failure to tell, true for all attempts together."""
+    if call.touched and failure.outcome is call_lib.NOT_RUN:
+        return dataclasses.replace(failure, outcome=outcome.Outcome.UNKNOWN)
+    return failure
+
+
+def learn(
+    state: node.Node,
+    event: events.AttemptEnded,
+    call: call_lib.Call,
+    attempt: call_lib.Attempt,
+) -> None:
+    """Enter what an ended attempt tells of its instance."""
+    table = state.routing
+    table.reported(attempt.instance, event.load, event.now_s)
+    latency_s = event.now_s - attempt.started_s
+    if event.failure is None:
+        table.answered(attempt.instance, latency_s, event.now_s)
+        table.median(call.route_name).add(latency_s)
+    elif event.failure.reason in (
+        Reason.LINK_LOST,
+        Reason.UPSTREAM_UNREACHABLE,
+    ):
+        table.failed(attempt.instance, event.now_s)
+        table.unreachable(attempt.instance, event.now_s)
+    elif event.failure.outcome is call_lib.NOT_RUN:
+        table.refused(attempt.instance, event.now_s)
+    else:
+        table.failed(attempt.instance, event.now_s)
+
+
+def complete(
+    state: node.Node, event: events.Event, call: call_lib.Call, number: int
+) -> list[effects.Effect]:
+    """Forget an answered call and cancel its other attempts."""
+    del state.calls[call.call_id]
+    return [
+        *cancel_others(state, event, call, number),
+        *forget_timers(call),
+    ]
+
+
+def cancel_others(
+    state: node.Node, event: events.Event, call: call_lib.Call, winner: int
+) -> list[effects.Effect]:
+    """Cancel every attempt but one; 0 cancels all."""
+    result: list[effects.Effect] = []
+    own = state.settings.address.instance
+    for number, attempt in list(call.attempts.items()):
+        if number == winner:
+            continue
+        if attempt.instance == own:
+            if state.admission.withdraw(call.call_id):
+                result += _watch_queue(state, event)
+            else:
+                result.append(effects.AbortDispatch(work_id=call.call_id))
+        else:
+            state.routing.refused(attempt.instance, event.now_s)
+            result.append(
+                effects.CancelForward(call_id=call.call_id, attempt=number)
+            )
+        del call.attempts[number]
+    return result
+
+
+def own_attempt(state: node.Node, call: call_lib.Call | None) -> int:
+    """Return the number of the attempt on the own upstream, or 0."""
+    if call is None:
+        return 0
+    own = state.settings.address.instance
+    for number, attempt in call.attempts.items():
+        if attempt.instance == own:
+            return number
+    return 0
+
+
+def refuse(
+    state: node.Node,
+    event: events.Event,
+    call_id: int,
+    failure: outcome.Failure,
+) -> list[effects.Effect]:
+    """Give a call its final failure and settle its key."""
+    call = state.calls.pop(call_id, None)
+    timers = forget_timers(call) if call else []
+    return [
+        *timers,
+        *keyed_calls.failed(state, event, call_id=call_id, failure=failure),
+        effects.Refuse(call_id=call_id, failure=failure),
+    ]
+
+
+def forget_timers(call: call_lib.Call) -> list[effects.Effect]:
+    """Return the effects that cancel the timers of a call."""
+    result: list[effects.Effect] = [
+        effects.CancelTimer(timer=events.CallDeadline(call_id=call.call_id))
+    ]
+    if call.route.idempotent and not call.route.bulk:
+        timer = events.Hedge(call_id=call.call_id)
+        result.append(effects.CancelTimer(timer=timer))
+    return result
+
+
+def _watch_queue(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Set the timer for the next waiting call that becomes too late."""
+    if not state.admission.queued:
+        return []
+    delay_s = max(state.admission.next_expiry_s() - event.now_s, 0.001)
+    return [effects.SetTimer(timer=events.QueueDeadline(), delay_s=delay_s)]
--- /dev/null
+++ b/src/monsoonpass/core/call.py
@@ -0,0 +1,63 @@
+"""One call in progress through this node."""
+
+import dataclasses
+
+from monsoonpass.core import catalog
+from monsoonpass.core import outcome
+
+NOT_RUN = outcome.Outcome.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """One try of a call on one upstream instance.
+
+    Attributes:
+        instance: The instance.
+        started_s: When it was sent there.
+    """
+
+    instance: str
+    started_s: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Call:
+    """A call in progress through this node.
+
+    Attributes:
+        call_id: Its number.
+        service: Service called.
+        route: Its route in the version in force when it began.
+        route_name: Names the route for what is learned of it.
+        arrived_s: When it arrived.
+        deadline_s: When its answer must be complete.
+        tried: Instances that refused or failed it.
+        attempts: Attempts under way, by number.
+        attempt_count: Number of the last attempt.
+        answering: Attempt whose answer is being passed on, or 0.
+        touched: Whether an upstream may have run it.
+        hedged: Whether a second attempt runs beside a slow one.
+    """
+
+    call_id: int
+    service: str
+    route: catalog.Route
+    route_name: str
+    arrived_s: float
+    deadline_s: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    attempt_count: int = 0
+    answering: int = 0
+    touched: bool = False
+    hedged: bool = False
+
+
+def not_run(
+    reason: outcome.Reason, retry_after_s: float | None
+) -> outcome.Failure:
+    """Return the failure of a call that no upstream has run."""
+    return outcome.Failure(
+        outcome=NOT_RUN, reason=reason, retry_after_s=retry_after_s
+    )
--- /dev/null
+++ b/src/monsoonpass/core/cold_start.py
@@ -0,0 +1,141 @@
+"""The read of the last accepted version, through the quorum.
+
+A node that starts without a memory serves nothing until a quorum has told it
+the last accepted version. The content comes from a peer of its data centre if
+one has it, so that a herd of starting nodes does not load the voters.
+"""
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import config_messages as messages
+from monsoonpass.core import distribution
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import node
+from monsoonpass.core import step
+from monsoonpass.core import submission
+
+COLD_RETRY_S = 0.5
+HINT_INTERVAL_S = 0.1
+COLD_RETRY_MAX_S = 4.0
+
+
+@step.receive.register
+def _(
+    message: messages.ColdReadReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    config = state.config
+    if message.voters:
+        state.control.voters = message.voters
+    state.control.leader = message.leader or state.control.leader
+    if not message.confirmed:
+        return _follow_hint(state, event, message.leader)
+    result = submission.leader_confirmed(state, event)
+    if message.version <= config.version and not config.ready:
+        config.ready = True
+        result.append(
+            effects.Log(
+                code=logbook.Code.COLD_START_READ,
+                fields={"version": config.version},
+            )
+        )
+    if config.ready:
+        result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
+    if message.version > config.newest.version:
+        source = _source(state, event)
+        result += distribution.fetch(state, source, message.version)
+    return result
+
+
+@step.expire.register
+def _(
+    timer: events.ColdStartRetry, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return begin(state, event)
+
+
+def begin(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Ask a voter for the last accepted version, with full jitter."""
+    config = state.config
+    config.cold_attempts += 1
+    ceiling_s = min(
+        COLD_RETRY_S * 2 ** min(config.cold_attempts, 4), COLD_RETRY_MAX_S
+    )
+    random = entropy_lib.Entropy(bits=event.entropy)
+    retry = effects.SetTimer(
+        timer=events.ColdStartRetry(),
+        delay_s=random.uniform(0.5 * COLD_RETRY_S, ceiling_s),
+    )
+    own = state.settings.address
+    replica = state.control.replica
+    if replica is not None and replica.is_ready_leader:
+        return [effects.Send(to=own, message=messages.ColdRead()), retry]
+    voters = [v for v in known_voters(state) if v.instance != own.instance]
+    if not voters:
+        return [retry]
+    to = random.choice(voters)
+    return [effects.Send(to=to, message=messages.ColdRead()), retry]
+
+
+def _source(state: node.Node, event: events.PeerMessage) -> address_lib.Address:
+    """Return whom to fetch the content from: at first a peer nearby.
+
+    A peer may be as cold as this node, so the next attempt goes to the voter
+    that confirmed the version.
+    """
+    own = state.settings.address.instance
+    peers = [
+        member.address
+        for member in state.membership.table.alive()
+        if member.instance != own
+    ]
+    if state.config.cold_attempts > 1 or not peers:
+        return event.sender
+    return entropy_lib.Entropy(bits=event.entropy).choice(peers)
+
+
+def _follow_hint(
+    state: node.Node,
+    event: events.PeerMessage,
+    leader: address_lib.Address | None,
+) -> list[effects.Effect]:
+    """Ask the leader that a voter named, unless that was just done."""
+    control = state.control
+    if leader is None or leader.instance == event.sender.instance:
+        return []
+    if leader.instance == state.settings.address.instance:
+        return []
+    if event.now_s - control.hint_followed_s < HINT_INTERVAL_S:
+        return []
+    control.hint_followed_s = event.now_s
+    return [effects.Send(to=leader, message=messages.ColdRead())]
+
+
+def reply(
+    state: node.Node, asker: address_lib.Address, confirmed: bool
+) -> effects.Send:
+    """Return the answer to a `ColdRead`."""
+    version = state.control.machine.catalog.version
+    message = messages.ColdReadReply(
+        confirmed=confirmed,
+        version=version if confirmed else 0,
+        leader=submission.leader_of(state),
+        voters=known_voters(state),
+    )
+    return effects.Send(to=asker, message=message)
+
+
+def known_voters(state: node.Node) -> tuple[address_lib.Address, ...]:
+    """Return where the voters are: as last told, else from the settings."""
+    replica = state.control.replica
+    if replica is not None and replica.members.voters:
+        return tuple(m.address for m in replica.members.members if m.voter)
+    if state.control.voters:
+        return state.control.voters
+    names = state.settings.bootstrap_voters
+    return tuple(
+        seed.address
+        for seed in state.settings.seeds
+        if seed.address.instance in names
+    )
--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/control.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import cold_start
 from monsoonpass.core import config_messages as messages
 from monsoonpass.core import consensus_records as records
 from monsoonpass.core import distribution
@@ -18,6 +19,7 @@
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import follower as _follower
+from monsoonpass.core import formation
 from monsoonpass.core import group
 from monsoonpass.core import keyed_calls
 from monsoonpass.core import logbook
@@ -29,8 +31,6 @@
 from monsoonpass.core import upkeep
 
 UPKEEP_S = 0.5
-JOIN_AFTER_S = 5.0
-CANDIDATES_MAX = 64
 
 assert _follower  # Imported for its registrations.
 
@@ -83,11 +83,11 @@
         elif isinstance(notice, replica_lib.Restored):
             result += distribution.restored(state, event)
         elif isinstance(notice, replica_lib.ReadReady):
-            result.append(_read_reply(state, notice.token.asker, True))
+            result.append(cold_start.reply(state, notice.token.asker, True))
         elif isinstance(notice.token, submission.Job):
             result += submission.dropped(state, event, notice.token)
         elif isinstance(notice.token, ReadToken):
-            result.append(_read_reply(state, notice.token.asker, False))
+            result.append(cold_start.reply(state, notice.token.asker, False))
     if replica_lib.wants_compaction(replica):
         result.append(checkpoint(state))
     return result
@@ -194,70 +194,13 @@
     step.receive.register(_type, _receive_group_message)
 
 
-@step.receive.register
-def _(
-    message: messages.BootstrapProbe,
-    event: events.PeerMessage,
-    state: node.Node,
-) -> list[effects.Effect]:
-    identity = state.control.identity
-    if identity is None:
-        return []
-    status = messages.BootstrapStatus(
-        replica_id=identity.replica_id, group=identity.group
-    )
-    return state.disk.after_sync(
-        [effects.Send(to=event.sender, message=status)]
-    )
-
-
-@step.receive.register
-def _(
-    message: messages.BootstrapStatus,
-    event: events.PeerMessage,
-    state: node.Node,
-) -> list[effects.Effect]:
-    control = state.control
-    if control.identity is None or control.identity.group:
-        return []
-    sender = event.sender.instance
-    if message.group:
-        control.probed.pop(sender, None)
-        control.voters = (*control.voters, event.sender)[-8:]
-        return []
-    control.probed[sender] = message.replica_id
-    return _form_group(state, event)
-
-
-@step.receive.register
-def _(
-    message: messages.JoinGroup, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
-    control = state.control
-    replica = control.replica
-    if replica is None:
-        return []
-    if not replica.is_leader:
-        leader = replica.leader_address
-        if leader is None or leader.instance == event.sender.instance:
-            return []
-        return [_read_reply(state, event.sender, False)]
-    if len(control.candidates) < CANDIDATES_MAX:
-        control.candidates[message.replica_id] = upkeep.Candidate(
-            address=event.sender,
-            data_centre=message.data_centre,
-            heard_s=event.now_s,
-        )
-    return []
-
-
 @step.receive.register
 def _(
     message: messages.ColdRead, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
     replica = state.control.replica
     if replica is None:
-        return [_read_reply(state, event.sender, False)]
+        return [cold_start.reply(state, event.sender, False)]
     try:
         result = replication.start_read(
             replica,
@@ -265,26 +208,13 @@
             now_s=event.now_s,
         )
     except replica_lib.NotLeaderError:
-        return [_read_reply(state, event.sender, False)]
+        return [cold_start.reply(state, event.sender, False)]
     return result + drain_notices(state, event)
 
 
-def _read_reply(
-    state: node.Node, asker: address_lib.Address, confirmed: bool
-) -> effects.Send:
-    version = state.control.machine.catalog.version
-    reply = messages.ColdReadReply(
-        confirmed=confirmed,
-        version=version if confirmed else 0,
-        leader=submission.leader_of(state),
-        voters=distribution.known_voters(state),
-    )
-    return effects.Send(to=asker, message=reply)
-
-
 def _resume(state: node.Node, event: events.Started) -> list[effects.Effect]:
     """Rebuild the replica from the journal."""
-    _make_replica(state, records.Members(members=()))
+    formation.make_replica(state, records.Members(members=()))
     replica = state.control.replica
     replica_lib.recover(replica, event.journal)
     result = distribution.restored(state, event)
@@ -294,44 +224,6 @@
     ]
 
 
-def _make_replica(state: node.Node, members: records.Members) -> None:
-    state.control.replica = replica_lib.Replica(
-        identity=state.control.identity,
-        machine=state.control.machine,
-        disk=state.disk,
-        base_members=members,
-    )
-
-
-def _form_group(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Found the group once every bootstrap voter has said it has none."""
-    names = state.settings.bootstrap_voters
-    own = state.settings.address
-    control = state.control
-    if own.instance != min(names, default=""):
-        return []
-    addresses = {own.instance: own}
-    for seed in state.settings.seeds:
-        addresses[seed.address.instance] = seed.address
-    ids = {**control.probed, own.instance: control.identity.replica_id}
-    if any(name not in ids or name not in addresses for name in names):
-        return []
-    members = records.Members(
-        members=tuple(
-            records.Member(
-                replica_id=ids[name], address=addresses[name], voter=True
-            )
-            for name in sorted(names)
-        )
-    )
-    number = (entropy_lib.Entropy(bits=event.entropy).bits64() >> 2) | 1
-    result = _enter_group(state, event, number, members)
-    log = effects.Log(
-        code=logbook.Code.GROUP_FORMED, fields={"voters": len(names)}
-    )
-    return [*result, log]
-
-
 def _adopt_group(
     state: node.Node, event: events.PeerMessage, message: Any
 ) -> list[effects.Effect]:
@@ -345,30 +237,12 @@
         return []
     if isinstance(message, (records.VoteReply, records.AppendReply)):
         return []
-    result = _enter_group(
+    result = formation.enter(
         state, event, message.group, records.Members(members=())
     )
     return result + _receive_group_message(message, event, state)
 
 
-def _enter_group(
-    state: node.Node,
-    event: events.Event,
-    number: int,
-    members: records.Members,
-) -> list[effects.Effect]:
-    control = state.control
-    control.identity = dataclasses.replace(control.identity, group=number)
-    _make_replica(state, members)
-    replica = control.replica
-    base = records.LogSnapshot(index=0, term=0, members=members, data=b"")
-    write = state.disk.write([control.identity, base])
-    started = election.start(
-        replica, now_s=event.now_s, entropy=event.entropy, fresh=True
-    )
-    return [write, *started]
-
-
 def _upkeep(state: node.Node, event: events.Event) -> list[effects.Effect]:
     control = state.control
     result: list[effects.Effect] = [
@@ -383,7 +257,7 @@
     own = state.settings.address.instance
     bootstraps = own in state.settings.bootstrap_voters
     if replica is None and bootstraps:
-        result += _form_group(state, event)
+        result += formation.found(state, event)
         for seed in state.settings.seeds:
             name = seed.address.instance
             if name in state.settings.bootstrap_voters and name != own:
@@ -391,28 +265,6 @@
                     replica_id=control.identity.replica_id
                 )
                 result.append(effects.Send(to=seed.address, message=probe))
-    if _wants_to_join(state, event):
-        result += _ask_to_join(state, event)
+    if formation.wants_to_join(state, event):
+        result += formation.ask_to_join(state, event)
     return result
-
-
-def _wants_to_join(state: node.Node, event: events.Event) -> bool:
-    replica = state.control.replica
-    if replica is None or replica.members.find(replica.replica_id) is None:
-        return True
-    return event.now_s - replica.leader_heard_s > JOIN_AFTER_S
-
-
-def _ask_to_join(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    own = state.settings.address.instance
-    asked = submission.leader_of(state)
-    voters = [v for v in distribution.known_voters(state) if v.instance != own]
-    if asked is None or asked.instance == own:
-        if not voters:
-            return []
-        asked = entropy_lib.Entropy(bits=event.entropy).choice(voters)
-    request = messages.JoinGroup(
-        replica_id=state.control.identity.replica_id,
-        data_centre=state.settings.data_centre,
-    )
-    return [effects.Send(to=asked, message=request)]
--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/directory.py
@@ -10,7 +10,7 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import calls
+from monsoonpass.core import attempts
 from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
@@ -242,7 +242,7 @@
     if len(places) >= len(directory.contacts):
         directory.askers.pop(message.service, None)
     if message.members or len(places) >= len(directory.contacts):
-        result += calls.unparked(state, event, message.service)
+        result += attempts.unparked(state, event, message.service)
     return result
 
 
--- a/src/monsoonpass/core/distribution.py
+++ b/src/monsoonpass/core/distribution.py
@@ -13,6 +13,7 @@
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import cold_start
 from monsoonpass.core import config_messages as messages
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
@@ -21,16 +22,12 @@
 from monsoonpass.core import member_table
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core import submission
 
 FAN_OUT = 8
 HISTORY_MAX = 256
 FETCH_TIMEOUT_S = 1.0
 PUSH_RETRY_S = 0.4
 PUSH_ATTEMPTS_MAX = 10
-COLD_RETRY_S = 0.5
-HINT_INTERVAL_S = 0.1
-COLD_RETRY_MAX_S = 4.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -59,7 +56,7 @@
     state.config.catalog = catalog
     state.config.ready = catalog.version > 0
     state.config.in_force_since_s = event.now_s
-    return _cold_read(state, event)
+    return cold_start.begin(state, event)
 
 
 def checkpoint(state: node.Node) -> list[messages.InForceRecord]:
@@ -115,7 +112,7 @@
         return []
     if config.fetching and config.fetch_version >= version:
         return []
-    return _fetch(state, event.sender, version)
+    return fetch(state, event.sender, version)
 
 
 @step.receive.register
@@ -215,39 +212,6 @@
     return []
 
 
-@step.receive.register
-def _(
-    message: messages.ColdReadReply, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
-    config = state.config
-    if message.voters:
-        state.control.voters = message.voters
-    state.control.leader = message.leader or state.control.leader
-    if not message.confirmed:
-        return _follow_hint(state, event, message.leader)
-    result = submission.leader_confirmed(state, event)
-    if message.version <= config.version and not config.ready:
-        config.ready = True
-        result.append(
-            effects.Log(
-                code=logbook.Code.COLD_START_READ,
-                fields={"version": config.version},
-            )
-        )
-    if config.ready:
-        result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
-    if message.version > config.newest.version:
-        result += _fetch(state, event.sender, message.version)
-    return result
-
-
-@step.expire.register
-def _(
-    timer: events.ColdStartRetry, event: events.TimerFired, state: node.Node
-) -> list[effects.Effect]:
-    return _cold_read(state, event)
-
-
 def children(
     state: node.Node, root: str, version: int
 ) -> list[address_lib.Address]:
@@ -379,9 +343,10 @@
     return sum(len(codec.digest_form(delta)) for delta in chain)
 
 
-def _fetch(
+def fetch(
     state: node.Node, to: address_lib.Address, version: int
 ) -> list[effects.Effect]:
+    """Ask a peer for what is newer than the own version."""
     config = state.config
     config.fetching = to.instance
     config.fetch_version = max(version, config.fetch_version)
@@ -393,23 +358,6 @@
     ]
 
 
-def _follow_hint(
-    state: node.Node,
-    event: events.PeerMessage,
-    leader: address_lib.Address | None,
-) -> list[effects.Effect]:
-    """Ask the leader that a voter named, unless that was just done."""
-    control = state.control
-    if leader is None or leader.instance == event.sender.instance:
-        return []
-    if leader.instance == state.settings.address.instance:
-        return []
-    if event.now_s - control.hint_followed_s < HINT_INTERVAL_S:
-        return []
-    control.hint_followed_s = event.now_s
-    return [effects.Send(to=leader, message=messages.ColdRead())]
-
-
 def _data_centres(state: node.Node) -> list[str]:
     return [state.settings.data_centre, *sorted(state.directory.contacts)]
 
@@ -449,44 +397,6 @@
     ]
 
 
-def _cold_read(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Ask a voter for the last accepted version, with full jitter."""
-    config = state.config
-    config.cold_attempts += 1
-    ceiling_s = min(
-        COLD_RETRY_S * 2 ** min(config.cold_attempts, 4), COLD_RETRY_MAX_S
-    )
-    random = entropy_lib.Entropy(bits=event.entropy)
-    retry = effects.SetTimer(
-        timer=events.ColdStartRetry(),
-        delay_s=random.uniform(0.5 * COLD_RETRY_S, ceiling_s),
-    )
-    own = state.settings.address
-    replica = state.control.replica
-    if replica is not None and replica.is_ready_leader:
-        return [effects.Send(to=own, message=messages.ColdRead()), retry]
-    voters = [v for v in known_voters(state) if v.instance != own.instance]
-    if not voters:
-        return [retry]
-    to = random.choice(voters)
-    return [effects.Send(to=to, message=messages.ColdRead()), retry]
-
-
-def known_voters(state: node.Node) -> tuple[address_lib.Address, ...]:
-    """Return where the voters are: as last told, else from the settings."""
-    replica = state.control.replica
-    if replica is not None and replica.members.voters:
-        return tuple(m.address for m in replica.members.members if m.voter)
-    if state.control.voters:
-        return state.control.voters
-    names = state.settings.bootstrap_voters
-    return tuple(
-        seed.address
-        for seed in state.settings.seeds
-        if seed.address.instance in names
-    )
-
-
 def _rejected(event: events.Event, error: errors.CatalogError) -> effects.Log:
     return effects.Log(
         code=logbook.Code.CONFIGURATION_REJECTED, fields={"error": str(error)}
--- /dev/null
+++ b/src/monsoonpass/core/formation.py
@@ -0,0 +1,165 @@
+"""How a disk comes into the control group: founding and joining.
+
+Bootstrap voters with empty disks form a group only when every one of them has
+answered that it has none; the one whose name sorts first then proposes the
+members. A disk that was emptied later has a new identity, so it can only join
+as a learner.
+"""
+
+import dataclasses
+
+from monsoonpass.core import cold_start
+from monsoonpass.core import config_messages as messages
+from monsoonpass.core import consensus_records as records
+from monsoonpass.core import effects
+from monsoonpass.core import election
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import node
+from monsoonpass.core import replica as replica_lib
+from monsoonpass.core import step
+from monsoonpass.core import submission
+from monsoonpass.core import upkeep
+
+JOIN_AFTER_S = 5.0
+CANDIDATES_MAX = 64
+
+
+@step.receive.register
+def _(
+    message: messages.BootstrapProbe,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    identity = state.control.identity
+    if identity is None:
+        return []
+    status = messages.BootstrapStatus(
+        replica_id=identity.replica_id, group=identity.group
+    )
+    return state.disk.after_sync(
+        [effects.Send(to=event.sender, message=status)]
+    )
+
+
+@step.receive.register
+def _(
+    message: messages.BootstrapStatus,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    control = state.control
+    if control.identity is None or control.identity.group:
+        return []
+    sender = event.sender.instance
+    if message.group:
+        control.probed.pop(sender, None)
+        control.voters = (*control.voters, event.sender)[-8:]
+        return []
+    control.probed[sender] = message.replica_id
+    return found(state, event)
+
+
+@step.receive.register
+def _(
+    message: messages.JoinGroup, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    control = state.control
+    replica = control.replica
+    if replica is None:
+        return []
+    if not replica.is_leader:
+        leader = replica.leader_address
+        if leader is None or leader.instance == event.sender.instance:
+            return []
+        return [cold_start.reply(state, event.sender, False)]
+    if len(control.candidates) < CANDIDATES_MAX:
+        control.candidates[message.replica_id] = upkeep.Candidate(
+            address=event.sender,
+            data_centre=message.data_centre,
+            heard_s=event.now_s,
+        )
+    return []
+
+
+def make_replica(state: node.Node, members: records.Members) -> None:
+    """Begin a replica under the identity of the disk."""
+    state.control.replica = replica_lib.Replica(
+        identity=state.control.identity,
+        machine=state.control.machine,
+        disk=state.disk,
+        base_members=members,
+    )
+
+
+def found(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Found the group once every bootstrap voter has said it has none."""
+    names = state.settings.bootstrap_voters
+    own = state.settings.address
+    control = state.control
+    if own.instance != min(names, default=""):
+        return []
+    addresses = {own.instance: own}
+    for seed in state.settings.seeds:
+        addresses[seed.address.instance] = seed.address
+    ids = {**control.probed, own.instance: control.identity.replica_id}
+    if any(name not in ids or name not in addresses for name in names):
+        return []
+    members = records.Members(
+        members=tuple(
+            records.Member(
+                replica_id=ids[name], address=addresses[name], voter=True
+            )
+            for name in sorted(names)
+        )
+    )
+    number = (entropy_lib.Entropy(bits=event.entropy).bits64() >> 2) | 1
+    result = enter(state, event, number, members)
+    log = effects.Log(
+        code=logbook.Code.GROUP_FORMED, fields={"voters": len(names)}
+    )
+    return [*result, log]
+
+
+def enter(
+    state: node.Node,
+    event: events.Event,
+    number: int,
+    members: records.Members,
+) -> list[effects.Effect]:
+    """Enter a group for the first time, durably."""
+    control = state.control
+    control.identity = dataclasses.replace(control.identity, group=number)
+    make_replica(state, members)
+    replica = control.replica
+    base = records.LogSnapshot(index=0, term=0, members=members, data=b"")
+    write = state.disk.write([control.identity, base])
+    started = election.start(
+        replica, now_s=event.now_s, entropy=event.entropy, fresh=True
+    )
+    return [write, *started]
+
+
+def wants_to_join(state: node.Node, event: events.Event) -> bool:
+    """Return whether the disk should offer itself to the group."""
+    replica = state.control.replica
+    if replica is None or replica.members.find(replica.replica_id) is None:
+        return True
+    return event.now_s - replica.leader_heard_s > JOIN_AFTER_S
+
+
+def ask_to_join(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Offer the disk to the leader, as far as known, or to a voter."""
+    own = state.settings.address.instance
+    asked = submission.leader_of(state)
+    voters = [v for v in cold_start.known_voters(state) if v.instance != own]
+    if asked is None or asked.instance == own:
+        if not voters:
+            return []
+        asked = entropy_lib.Entropy(bits=event.entropy).choice(voters)
+    request = messages.JoinGroup(
+        replica_id=state.control.identity.replica_id,
+        data_centre=state.settings.data_centre,
+    )
+    return [effects.Send(to=asked, message=request)]
--- /dev/null
+++ b/src/monsoonpass/core/gossip.py
@@ -0,0 +1,187 @@
+"""News of members: taken into the table and spread.
+
+News rides on probes and is also passed on at once to a few members. When many
+members fall silent together, a partition is likelier than their death, and
+their records are kept.
+"""
+
+import dataclasses
+
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import member as member_lib
+from monsoonpass.core import node
+from monsoonpass.core import step
+
+GOSSIP_DELAY_S = 0.05
+GOSSIP_FAN_OUT = 3
+UPDATES_PER_DATAGRAM = 8
+TRANSMISSIONS_PER_DOUBLING = 3
+SUSPICION_S = 3.0
+PARTITION_SHARE = 0.3
+PARTITION_MIN = 3
+
+
+def change_own(
+    state: node.Node, event: events.Event, /, **changes: object
+) -> list[effects.Effect]:
+    """Change the own record and spread it.
+
+    Args:
+        state: The node.
+        event: The cause, for its time and random bits.
+        **changes: New values of fields of the record.
+
+    Returns:
+        Effects.
+    """
+    own = state.membership.own
+    changed = dataclasses.replace(
+        own, incarnation=own.incarnation + 1, **changes
+    )
+    return _set_own(state, event, changed)
+
+
+def spread_now(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Send queued news at once instead of after the gossip delay."""
+    return _gossip(state, event)
+
+
+@step.expire.register
+def _(
+    timer: events.Gossip, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    state.membership.gossip_set = False
+    return _gossip(state, event)
+
+
+@step.receive.register
+def _(
+    message: member_lib.Rumour, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    return merge(state, event, message.updates)
+
+
+def merge(
+    state: node.Node,
+    event: events.Event,
+    updates: list[member_lib.Member] | tuple[member_lib.Member, ...],
+) -> list[effects.Effect]:
+    """Take newer records into the table and queue them to be spread."""
+    result: list[effects.Effect] = []
+    table = state.membership.table
+    for update in updates:
+        if update.data_centre != state.settings.data_centre:
+            continue
+        if update.instance == state.settings.address.instance:
+            result += _refute(state, event, update)
+            continue
+        known = table.get(update.instance)
+        if known is not None and not update.supersedes(known):
+            continue
+        table.put(update, event.now_s)
+        result += _spread(state, update)
+        result += _log_change(known, update)
+        if update.state is member_lib.MemberState.SUSPECT:
+            timer = events.Suspicion(
+                instance=update.instance, incarnation=update.incarnation
+            )
+            result.append(effects.SetTimer(timer=timer, delay_s=SUSPICION_S))
+    return result + _check_healed(state)
+
+
+def _log_change(
+    known: member_lib.Member | None, update: member_lib.Member
+) -> list[effects.Effect]:
+    codes = {
+        member_lib.MemberState.SUSPECT: logbook.Code.MEMBER_SUSPECTED,
+        member_lib.MemberState.DEAD: logbook.Code.MEMBER_FAILED,
+        member_lib.MemberState.LEFT: logbook.Code.MEMBER_LEFT,
+    }
+    code = codes.get(update.state)
+    if code is None and (known is None or not known.is_present):
+        code = logbook.Code.MEMBER_JOINED
+    if code is None:
+        return []
+    return [effects.Log(code=code, fields={"member": update.instance})]
+
+
+def _refute(
+    state: node.Node, event: events.Event, update: member_lib.Member
+) -> list[effects.Effect]:
+    """Outbid a record about this node that is not its own."""
+    own = state.membership.own
+    if not update.supersedes(own) or update == own:
+        return []
+    changed = dataclasses.replace(own, incarnation=update.incarnation + 1)
+    return _set_own(state, event, changed)
+
+
+def _set_own(
+    state: node.Node, event: events.Event, changed: member_lib.Member
+) -> list[effects.Effect]:
+    state.membership.own = changed
+    state.membership.table.put(changed, event.now_s)
+    return _spread(state, changed)
+
+
+def _spread(
+    state: node.Node, update: member_lib.Member
+) -> list[effects.Effect]:
+    """Queue a record for the next datagrams."""
+    membership = state.membership
+    size = membership.table.present_count
+    count = TRANSMISSIONS_PER_DOUBLING * max(size.bit_length(), 1)
+    membership.updates[update.instance] = [update, count]
+    if membership.gossip_set:
+        return []
+    membership.gossip_set = True
+    return [effects.SetTimer(timer=events.Gossip(), delay_s=GOSSIP_DELAY_S)]
+
+
+def _gossip(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    own = state.settings.address.instance
+    others = [
+        m.address for m in state.membership.table.alive() if m.instance != own
+    ]
+    random = entropy_lib.Entropy(bits=event.entropy)
+    result: list[effects.Effect] = []
+    for to in random.sample(others, GOSSIP_FAN_OUT):
+        updates = take_updates(state)
+        if not updates:
+            break
+        rumour = member_lib.Rumour(updates=updates)
+        result.append(effects.SendDatagram(to=to, message=rumour))
+    return result
+
+
+def take_updates(state: node.Node) -> tuple[member_lib.Member, ...]:
+    """Return the least spread news and count this transmission."""
+    updates = state.membership.updates
+    if not updates:
+        return ()
+    freshest = sorted(updates.values(), key=lambda item: -item[1])
+    taken = []
+    for item in freshest[:UPDATES_PER_DATAGRAM]:
+        taken.append(item[0])
+        item[1] -= 1
+        if item[1] <= 0:
+            del updates[item[0].instance]
+    return tuple(taken)
+
+
+def looks_partitioned(state: node.Node) -> bool:
+    """Return whether too many members are suspected at once."""
+    table = state.membership.table
+    threshold = max(PARTITION_MIN, PARTITION_SHARE * table.present_count)
+    return table.suspect_count > threshold
+
+
+def _check_healed(state: node.Node) -> list[effects.Effect]:
+    membership = state.membership
+    if not membership.partitioned or looks_partitioned(state):
+        return []
+    membership.partitioned = False
+    return [effects.Log(code=logbook.Code.PARTITION_HEALED)]
--- a/src/monsoonpass/core/keyed_calls.py
+++ b/src/monsoonpass/core/keyed_calls.py
@@ -9,8 +9,8 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import cold_start
 from monsoonpass.core import consensus_records as records
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
@@ -317,7 +317,7 @@
     ]
     to = submission.leader_of(state)
     if to is None:
-        voters = distribution.known_voters(state)
+        voters = cold_start.known_voters(state)
         if voters:
             to = entropy_lib.Entropy(bits=event.entropy).choice(voters)
     if to is not None:
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -3,20 +3,24 @@
 Importing this module registers the handlers of every subject.
 """
 
-from monsoonpass.core import calls
+from monsoonpass.core import attempts
+from monsoonpass.core import calls as _calls
 from monsoonpass.core import control
 from monsoonpass.core import directory
 from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import events
+from monsoonpass.core import gossip
 from monsoonpass.core import logbook
 from monsoonpass.core import member as member_lib
 from monsoonpass.core import membership
 from monsoonpass.core import node
+from monsoonpass.core import own_upstream
 from monsoonpass.core import replication
 from monsoonpass.core import step as step_lib
 from monsoonpass.core import survey as _survey
 
+assert _calls  # Imported for its registrations.
 assert _survey  # Imported for its registrations.
 
 DRAIN_CHECK_S = 0.05
@@ -45,7 +49,7 @@
     if state.control.replica is not None:
         replication.link_lost(state.control.replica, event.instance)
     return [
-        *calls.link_lost(state, event),
+        *attempts.link_lost(state, event),
         *control.drain_notices(state, event),
     ]
 
@@ -58,7 +62,7 @@
     state.stop_at_s = event.now_s + state.settings.drain_limit_s
     return [
         effects.Log(code=logbook.Code.NODE_STOPPING),
-        *calls.drain_upstream(state, event),
+        *own_upstream.drain(state, event),
         effects.SetTimer(timer=events.DrainCheck(), delay_s=DRAIN_CHECK_S),
     ]
 
@@ -72,8 +76,8 @@
     if not idle and event.now_s < state.stop_at_s:
         return [effects.SetTimer(timer=timer, delay_s=DRAIN_CHECK_S)]
     return [
-        *membership.change_own(state, event, state=member_lib.MemberState.LEFT),
-        *membership.spread_now(state, event),
+        *gossip.change_own(state, event, state=member_lib.MemberState.LEFT),
+        *gossip.spread_now(state, event),
         effects.Log(code=logbook.Code.NODE_STOPPED),
         effects.Stopped(),
     ]
--- a/src/monsoonpass/core/submission.py
+++ b/src/monsoonpass/core/submission.py
@@ -6,6 +6,7 @@
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import cold_start
 from monsoonpass.core import config_messages as messages
 from monsoonpass.core import consensus_records as records
 from monsoonpass.core import control_machine
@@ -211,7 +212,7 @@
     state: node.Node, event: events.Event
 ) -> address_lib.Address | None:
     own = state.settings.address.instance
-    voters = distribution.known_voters(state)
+    voters = cold_start.known_voters(state)
     others = [voter for voter in voters if voter.instance != own]
     if not others:
         return None
--- a/src/monsoonpass/core/survey.py
+++ b/src/monsoonpass/core/survey.py
@@ -9,7 +9,7 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import distribution
+from monsoonpass.core import cold_start
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
@@ -353,7 +353,7 @@
         version=state.config.version,
         leader=leader.instance if leader else "",
         voters=tuple(
-            voter.instance for voter in distribution.known_voters(state)
+            voter.instance for voter in cold_start.known_voters(state)
         ),
         places=tuple(survey.places[name] for name in sorted(survey.places)),
         missing=tuple(sorted(survey.expected - survey.places.keys())),
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,6 +1,8 @@
 """Tests of distribution and membership over fake networks."""
 
+from monsoonpass.core import config_messages
 from monsoonpass.core import effects
+from monsoonpass.core import events
 from monsoonpass.core import member as member_lib
 from tests import fake_mesh
 
@@ -118,6 +120,51 @@
         mesh.check_converged()
         assert versions(mesh) == {1}
 
+    def test_content_comes_from_a_peer_before_a_voter(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.performed.clear()
+        mesh.nodes["b1"].crash()
+        mesh.nodes["b1"].start()
+        mesh.run(4)
+        assert mesh.nodes["b1"].state.config.version == 1
+        sources = {
+            node.name
+            for node in mesh.nodes.values()
+            for effect in node.performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.FetchReply)
+        }
+        assert sources <= {"b0", "b2", "b3"}
+
+    def test_reply_older_than_the_quorums_version_is_ignored(self):
+        """Guard: `not config.ready and message.version <` in FetchReply."""
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"a0"})
+        mesh.submit("v0", fake_mesh.make_catalog(2, "x", "y"))
+        mesh.run(1)
+        stale = mesh.nodes["a0"].state.config.catalog.snapshot()
+        mesh.nodes["a1"].crash()
+        mesh.nodes["a1"].start()
+        node = mesh.nodes["a1"]
+        node.state.config.fetch_version = 2
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("a0"),
+            message=config_messages.FetchReply(
+                version=1, deltas=(), snapshot=stale
+            ),
+        )
+        assert not node.state.config.ready
+        mesh.run(4)
+        assert node.state.config.version == 2
+
 
 class TestMembership:
     def test_all_members_are_known_after_a_join_storm(self):
@@ -155,13 +202,13 @@
         mesh.run(8)
         node = mesh.nodes["a0"]
         node.feed(
-            fake_mesh.events.UpstreamAnnounced,
+            events.UpstreamAnnounced,
             service="x",
             slots=4,
             cold=False,
         )
         mesh.run(1)
-        node.feed(fake_mesh.events.UpstreamDraining)
+        node.feed(events.UpstreamDraining)
         mesh.run(1)
         for other in mesh.nodes.values():
             if other.settings.data_centre == "a":
