--- /dev/null
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -0,0 +1,146 @@
+"""What callers' HTTP requests say, and how failures are told to them."""
+
+import json
+import math
+from typing import Any
+
+import anyio
+
+from monsoonpass import errors
+from monsoonpass.core import call_messages as messages
+from monsoonpass.core import outcome
+from monsoonpass.runtime import body as body_lib
+from monsoonpass.runtime import exchange as exchange_lib
+
+Receive = exchange_lib.Receive
+
+BODY_LIMIT_S = 30.0
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+STATUS_BY_REASON = {
+    outcome.Reason.NO_ROUTE: 404,
+    outcome.Reason.TOO_LARGE: 413,
+    outcome.Reason.DEADLINE: 504,
+    outcome.Reason.DUPLICATE_KEY: 409,
+}
+STATUS_BY_OUTCOME = {
+    outcome.Outcome.NOT_RUN: 503,
+    outcome.Outcome.UNKNOWN: 502,
+    outcome.Outcome.FAILED: 502,
+}
+
+
+async def receive_first(
+    headers: dict[bytes, bytes], receive: Receive
+) -> tuple[bytes, bool]:
+    """Return the whole body if it is declared short, else its first part."""
+    declared = headers.get(b"content-length", b"")
+    is_short = declared.isdigit() and int(declared) <= body_lib.WHOLE_BYTES
+    parts = []
+    ended = False
+    with anyio.move_on_after(BODY_LIMIT_S):
+        while not ended:
+            event = await receive()
+            if event["type"] != "http.request":
+                raise errors.CallerGoneError("the caller is gone")
+            parts.append(event.get("body", b""))
+            ended = not event.get("more_body", False)
+            if not is_short:
+                break
+    if is_short and not ended:
+        raise errors.CallerGoneError("the caller's body takes too long")
+    return b"".join(parts), ended
+
+
+async def watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel a scope once the caller has closed its connection."""
+    event = await receive()
+    while event["type"] != "http.disconnect":
+        event = await receive()
+    scope.cancel()
+
+
+async def fill_pipe(receive: Receive, pipe: body_lib.Pipe) -> None:
+    """Move a request body into a pipe as there is room."""
+    ended = False
+    while not ended:
+        event = await receive()
+        if event["type"] != "http.request":
+            pipe.fail(errors.CallerGoneError("the caller is gone"))
+            return
+        ended = not event.get("more_body", False)
+        pipe.push(event.get("body", b""), ended=ended)
+        await pipe.wait_room()
+
+
+def end_to_end(headers: Any) -> messages.Headers:
+    """Return headers without those of a single connection."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and not name.startswith(b":")
+    )
+
+
+def timeout_s(headers: dict[bytes, bytes]) -> float | None:
+    """Return the caller's own limit, if it gave a valid one."""
+    text = headers.get(b"monsoonpass-timeout-ms", b"")
+    if not text.isdigit() or not 0 < int(text) <= 3_600_000:
+        return None
+    return int(text) / 1000.0
+
+
+def fingerprint(exchange: exchange_lib.Exchange) -> bytes:
+    """Return a digest that tells two requests with one key apart.
+
+    The body counts if it is short, else only its declared length.
+    """
+    digest = body_lib.new_digest()
+    digest.update(exchange.method.encode() + b" " + exchange.target + b"\n")
+    if exchange.ended:
+        digest.update(exchange.first)
+    else:
+        digest.update(dict(exchange.headers).get(b"content-length", b""))
+    return digest.digest()
+
+
+def text(value: bytes | None) -> str | None:
+    """Return a header value as text, or None."""
+    return value.decode("latin-1") if value is not None else None
+
+
+def failure_response(
+    failure: outcome.Failure,
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return the status, headers and body that tell a failure."""
+    status = STATUS_BY_REASON.get(
+        failure.reason, STATUS_BY_OUTCOME[failure.outcome]
+    )
+    content = json.dumps(
+        {
+            "outcome": failure.outcome,
+            "reason": failure.reason,
+            "retry_after_s": failure.retry_after_s,
+        }
+    ).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(content)).encode()),
+        (b"monsoonpass-outcome", str(failure.outcome).encode()),
+        (b"monsoonpass-reason", str(failure.reason).encode()),
+    ]
+    if failure.retry_after_s is not None:
+        whole_s = max(1, math.ceil(failure.retry_after_s))
+        headers.append((b"retry-after", str(whole_s).encode()))
+    return status, headers, content
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -144,8 +144,8 @@
         )
         self._mesh.on_call_message(
             self._receive_call_message,
-            self._front.link_opened,
-            self._front.link_gone,
+            self._front.attempts.link_opened,
+            self._front.attempts.link_gone,
         )
         engine.on(effects.Refuse, self._refuse)
         engine.on(effects.Log, self._logger.perform)
@@ -218,7 +218,7 @@
         self, link: link_lib.Link, message: object
     ) -> None:
         if not self._peer_calls.receive_call_message(link, message):
-            self._front.receive_call_message(link, message)
+            self._front.attempts.receive_call_message(link, message)
 
     def _refuse(self, effect: effects.Refuse) -> None:
         if not self._front.refuse(effect):
--- /dev/null
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -0,0 +1,313 @@
+"""Attempts of this node's calls at other nodes, over the streams."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import call_messages as messages
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import outcome
+from monsoonpass.runtime import body as body_lib
+from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import exchange as exchange_lib
+from monsoonpass.runtime import link as link_lib
+from monsoonpass.runtime import mesh as mesh_lib
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RemoteAttempt:
+    """An attempt of a call at another node.
+
+    Attributes:
+        number: Number of the attempt on the wire.
+        call_id: The call at this node.
+        attempt: Number of the attempt within the call.
+        to: The owner.
+        link: The link used, or None while it is being opened.
+        digest: Digest of the answer's body so far.
+        credit: How much of the request's body may be sent.
+        idempotent: Whether the call may simply be sent elsewhere.
+        incarnation: The owner's incarnation on the link used first.
+        asking: Whether the owner was asked for the call's outcome.
+    """
+
+    number: int
+    call_id: int
+    attempt: int
+    to: address_lib.Address
+    link: link_lib.Link | None
+    digest: Any = dataclasses.field(default_factory=body_lib.new_digest)
+    credit: body_lib.Credit = dataclasses.field(
+        default_factory=lambda: body_lib.Credit(size_bytes=0)
+    )
+    idempotent: bool = False
+    incarnation: int = 0
+    asking: bool = False
+
+    def bind(self, link: link_lib.Link | None) -> None:
+        """Note the link that carries the attempt."""
+        self.link = link
+        if link is not None and not self.incarnation:
+            self.incarnation = link.incarnation
+
+
+class RemoteAttempts:
+    """The attempts of this node's calls at other nodes."""
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        mesh: mesh_lib.Mesh,
+        exchanges: dict[int, exchange_lib.Exchange],
+        next_number: Callable[[], int],
+        spawn: Callable[..., None],
+    ):
+        """Prepare for attempts.
+
+        Args:
+            engine: The node's engine.
+            mesh: Carries the messages.
+            exchanges: The calls in progress, by number.
+            next_number: Returns a number that nothing else has.
+            spawn: Starts a task.
+        """
+        self._engine = engine
+        self._mesh = mesh
+        self._exchanges = exchanges
+        self._next_number = next_number
+        self._spawn = spawn
+        self._attempts: dict[int, RemoteAttempt] = {}
+        engine.on(effects.Forward, self._forward)
+        engine.on(effects.CancelForward, self._cancel_forward)
+
+    def is_under_way(self, attempt: RemoteAttempt) -> bool:
+        """Return whether an attempt has not ended."""
+        return attempt.number in self._attempts
+
+    def receive_call_message(self, link: link_lib.Link, message: Any) -> None:
+        """Take an owner's message about an attempt of this node."""
+        attempt = self._attempts.get(message.call)
+        if attempt is None:
+            return
+        if isinstance(message, messages.CallCredit):
+            self._take_credit(attempt, message)
+        elif isinstance(message, messages.AnswerHead):
+            self._take_head(attempt, message)
+        elif isinstance(message, messages.AnswerBody):
+            self._take_body(attempt, message)
+        elif isinstance(message, messages.AnswerFailed):
+            self._end_attempt(attempt, message.failure, message.load)
+
+    def link_opened(self, link: link_lib.Link) -> None:
+        """Bind the attempts that waited for a link to it."""
+        for attempt in self._attempts.values():
+            is_peer = attempt.to.instance == link.peer.instance
+            if attempt.link is None and is_peer:
+                attempt.bind(link)
+
+    def link_gone(self, instance: str, link: link_lib.Link | None) -> None:
+        """Ask for the outcome of attempts on a lost link, or end them."""
+        for attempt in list(self._attempts.values()):
+            if attempt.to.instance != instance or attempt.link is not link:
+                continue
+            if link is not None and self._can_ask(attempt):
+                self._ask_outcome(attempt)
+                continue
+            never_sent = link is None and not attempt.asking
+            kind = outcome.Outcome.UNKNOWN
+            if never_sent:
+                kind = outcome.Outcome.NOT_RUN
+            failure = outcome.Failure(
+                outcome=kind, reason=outcome.Reason.LINK_LOST
+            )
+            self._end_attempt(attempt, failure, None)
+
+    def _can_ask(self, attempt: RemoteAttempt) -> bool:
+        """Return whether asking for the outcome may still save the call."""
+        exchange = self._exchanges.get(attempt.call_id)
+        if exchange is None or attempt.idempotent:
+            return False
+        return not exchange.started and not exchange.streaming
+
+    def _ask_outcome(self, attempt: RemoteAttempt) -> None:
+        attempt.asking = True
+        query = messages.OutcomeQuery(
+            call=attempt.number, incarnation=attempt.incarnation
+        )
+        attempt.bind(self._mesh.send_call(attempt.to, query))
+
+    def _forward(self, effect: effects.Forward) -> None:
+        exchange = self._exchanges.get(effect.call_id)
+        if exchange is None:
+            return
+        number = self._next_number()
+        attempt = RemoteAttempt(
+            number=number,
+            call_id=effect.call_id,
+            attempt=effect.attempt,
+            to=effect.to,
+            link=None,
+            idempotent=effect.idempotent,
+        )
+        self._attempts[number] = attempt
+        if exchange.streaming:
+            # Part of the body is gone, so the call cannot be sent again.
+            failure = outcome.Failure(
+                outcome=outcome.Outcome.UNKNOWN,
+                reason=outcome.Reason.UPSTREAM_BROKE_OFF,
+            )
+            self._end_attempt(attempt, failure, None)
+            return
+        message = messages.CallOpen(
+            call=number,
+            service=exchange.service,
+            method=exchange.method,
+            target=exchange.target,
+            headers=exchange.headers,
+            route=effect.route,
+            timeout_s=effect.timeout_s,
+            priority=effect.priority,
+            bulk=effect.bulk,
+            reroutable=effect.reroutable,
+            body=exchange.first,
+            ended=exchange.ended,
+            traceparent=exchange.span.traceparent,
+        )
+        attempt.bind(self._mesh.send_call(effect.to, message))
+
+    def _cancel_forward(self, effect: effects.CancelForward) -> None:
+        for attempt in list(self._attempts.values()):
+            wanted = (effect.call_id, effect.attempt)
+            if (attempt.call_id, attempt.attempt) == wanted:
+                del self._attempts[attempt.number]
+                cancel = messages.CallCancel(call=attempt.number)
+                if attempt.link is not None:
+                    self._mesh.send_on(attempt.link, cancel)
+                else:
+                    self._mesh.send_call(attempt.to, cancel)
+
+    def _take_credit(
+        self, attempt: RemoteAttempt, message: messages.CallCredit
+    ) -> None:
+        attempt.credit.grant(message.size_bytes)
+        exchange = self._exchanges.get(attempt.call_id)
+        if exchange is None or exchange.streaming:
+            return
+        exchange.streaming = True
+        self._spawn(self._send_body, attempt, exchange.receive)
+
+    async def _send_body(
+        self, attempt: RemoteAttempt, receive: exchange_lib.Receive
+    ) -> None:
+        """Send the rest of a request's body as the owner grants credit."""
+        ended = False
+        while not ended and attempt.number in self._attempts:
+            event = await receive()
+            if event["type"] != "http.request":
+                self._engine.feed(events.CallerGone, call_id=attempt.call_id)
+                return
+            body = event.get("body", b"")
+            ended = not event.get("more_body", False)
+            await self._send_chunks(attempt, body, ended)
+
+    async def _send_chunks(
+        self, attempt: RemoteAttempt, body: bytes, ended: bool
+    ) -> None:
+        for start in range(0, max(len(body), 1), body_lib.CHUNK_BYTES):
+            chunk = body[start : start + body_lib.CHUNK_BYTES]
+            await attempt.credit.take(len(chunk))
+            last = start + body_lib.CHUNK_BYTES >= len(body)
+            message = messages.CallBody(
+                call=attempt.number, body=chunk, ended=ended and last
+            )
+            if attempt.link is not None:
+                self._mesh.send_on(attempt.link, message, bulk=True)
+
+    def _take_head(
+        self, attempt: RemoteAttempt, message: messages.AnswerHead
+    ) -> None:
+        attempt.digest.update(message.body)
+        part = exchange_lib.Part(
+            status=message.status,
+            headers=message.headers,
+            body=message.body,
+            ended=message.ended,
+            credit=self._credit_sender(attempt),
+        )
+        if message.ended:
+            self._finish_answer(attempt, message.digest, part, message.load)
+            return
+        self._engine.feed(
+            events.AttemptHeadReceived,
+            call_id=attempt.call_id,
+            attempt=attempt.attempt,
+            load=message.load,
+        )
+        self._put(attempt, part)
+
+    def _take_body(
+        self, attempt: RemoteAttempt, message: messages.AnswerBody
+    ) -> None:
+        attempt.digest.update(message.body)
+        part = exchange_lib.Part(
+            body=message.body,
+            ended=message.ended,
+            credit=self._credit_sender(attempt),
+        )
+        if message.ended:
+            self._finish_answer(attempt, message.digest, part, None)
+        else:
+            self._put(attempt, part)
+
+    def _finish_answer(
+        self,
+        attempt: RemoteAttempt,
+        digest: bytes,
+        part: exchange_lib.Part,
+        load: outcome.Load | None,
+    ) -> None:
+        """Pass on the last piece if the whole answer is intact."""
+        if digest != attempt.digest.digest():
+            failure = outcome.Failure(
+                outcome=outcome.Outcome.FAILED,
+                reason=outcome.Reason.UPSTREAM_BROKE_OFF,
+            )
+            self._end_attempt(attempt, failure, load)
+            return
+        # Whichever whole answer comes first counts; a second one is dropped.
+        self._put(attempt, part)
+        self._end_attempt(attempt, None, load)
+
+    def _put(self, attempt: RemoteAttempt, part: exchange_lib.Part) -> None:
+        exchange = self._exchanges.get(attempt.call_id)
+        if exchange is not None:
+            exchange.put(part)
+
+    def _credit_sender(self, attempt: RemoteAttempt) -> Callable[[int], None]:
+        def grant(size_bytes: int) -> None:
+            if size_bytes and attempt.number in self._attempts:
+                message = messages.AnswerCredit(
+                    call=attempt.number, size_bytes=size_bytes
+                )
+                if attempt.link is not None:
+                    self._mesh.send_on(attempt.link, message)
+
+        return grant
+
+    def _end_attempt(
+        self,
+        attempt: RemoteAttempt,
+        failure: outcome.Failure | None,
+        load: outcome.Load | None,
+    ) -> None:
+        self._attempts.pop(attempt.number, None)
+        self._engine.feed(
+            events.AttemptEnded,
+            call_id=attempt.call_id,
+            attempt=attempt.attempt,
+            failure=failure,
+            load=load,
+        )
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -215,7 +215,7 @@
         run_mesh(tmp_path, THREE, play)
 
     def test_answer_is_fetched_after_the_link_broke(self, tmp_path):
-        """Guard: `self._ask_outcome(attempt)` in Front.link_gone."""
+        """Guard: `self._ask_outcome(attempt)` in RemoteAttempts.link_gone."""
 
         async def play(mesh):
             async def cut():
