--- a/src/monsoonpass/runtime/front.py
+++ b/src/monsoonpass/runtime/front.py
@@ -351,9 +351,8 @@
             return await exchange.get()
         result: list[exchange_lib.Part] = []
         async with anyio.create_task_group() as group:
-            group.start_soon(
-                caller_http.watch_caller, receive, group.cancel_scope
-            )
+            scope = group.cancel_scope
+            group.start_soon(caller_http.watch_caller, receive, scope)
             result.append(await exchange.get())
             scope.cancel()
         return result[0] if result else None
