--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/directory.py
@@ -23,6 +23,7 @@
 
 RELAYS = 2
 EXCHANGE_S = 2.0
+GREETED_MAX = 4
 ENDPOINTS_FRESH_S = 2.0
 WANTED_S = 30.0
 ENDPOINTS_MAX = 64
@@ -172,7 +173,8 @@
     if not is_relay(state, "relay") and state.control.replica is None:
         return result
     greeting = _greeting(state, event.now_s, wants_reply=True)
-    for data_centre in sorted(state.directory.contacts):
+    others = sorted(state.directory.contacts)
+    for data_centre in random.sample(others, GREETED_MAX):
         to = _contact(state, data_centre, random)
         result.append(effects.Send(to=to, message=greeting))
     return result
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,6 +1,7 @@
 """Tests of distribution and membership over fake networks."""
 
 from monsoonpass.core import config_messages
+from monsoonpass.core import directory
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import member as member_lib
@@ -166,6 +167,21 @@
         assert node.state.config.version == 2
 
 
+class TestExchange:
+    def test_relay_greets_few_data_centres_a_round(self):
+        """Guard: `random.sample(others, GREETED_MAX)` in directory."""
+        mesh = fake_mesh.FakeMesh(seed=3)
+        seeds = tuple(
+            fake_mesh.seed(f"x{number}", f"place{number}")
+            for number in range(18)
+        )
+        node = mesh.add("x0", disk=False, seeds=seeds, voters=())
+        node.start()
+        mesh.run(20)
+        greetings = count_sends(mesh, directory.Greeting)
+        assert 0 < greetings <= 4 * 20 / (0.75 * directory.EXCHANGE_S) + 4
+
+
 class TestMembership:
     def test_all_members_are_known_after_a_join_storm(self):
         mesh = make_two_places(plain=12)
