Give up a dead leader: ask any voter after the one last heard of

Cause: the first test with real processes killed the leader; submissions at a node without a replica stayed 'unavailable' for 60 s and would have for ever. That node kept asking the leader it had last heard of. Claims of keys and the offers of disks to the group had the same fault. Fake-network tests had missed it because all their submitters but one had replicas, or leaders that lived. Change: the leader last heard of is asked first, any voter after. Tests with killed and frozen leaders on the fake network, and five tests with real daemons: killed leader, frozen leader that wakes, all killed at once, lost disk, planned stop.

--- a/src/monsoonpass/core/formation.py
+++ b/src/monsoonpass/core/formation.py
@@ -151,13 +151,9 @@
 
 def ask_to_join(state: node.Node, event: events.Event) -> list[effects.Effect]:
     """Offer the disk to the leader, as far as known, or to a voter."""
-    own = state.settings.address.instance
-    asked = submission.leader_of(state)
-    voters = [v for v in cold_start.known_voters(state) if v.instance != own]
-    if asked is None or asked.instance == own:
-        if not voters:
-            return []
-        asked = entropy_lib.Entropy(bits=event.entropy).choice(voters)
+    asked = submission.whom_to_ask(state, event, event.entropy & 1)
+    if asked is None:
+        return []
     request = messages.JoinGroup(
         replica_id=state.control.identity.replica_id,
         data_centre=state.settings.data_centre,
--- a/src/monsoonpass/core/keyed_calls.py
+++ b/src/monsoonpass/core/keyed_calls.py
@@ -9,10 +9,8 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import cold_start
 from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
-from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import ledger
 from monsoonpass.core import node
@@ -57,6 +55,7 @@
         granted: Whether it was granted.
         settlement: What to settle it with, once the call has ended.
         attempts: How often the settlement was sent.
+        asks: How often the claim or the settlement was sent.
     """
 
     request: ledger.ClaimRequest
@@ -64,6 +63,7 @@
     granted: bool = False
     settlement: ledger.SettleRequest | None = None
     attempts: int = 0
+    asks: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -315,17 +315,24 @@
             timer=events.ClaimRetry(call_id=call_id), delay_s=RETRY_S
         )
     ]
-    to = submission.leader_of(state)
-    if to is None:
-        voters = cold_start.known_voters(state)
-        if voters:
-            to = entropy_lib.Entropy(bits=event.entropy).choice(voters)
+    to = _leader_or_voter(state, event, keyed.asks)
+    keyed.asks += 1
     if to is not None:
         message = keyed.settlement or keyed.request
         result.append(effects.Send(to=to, message=message))
     return result
 
 
+def _leader_or_voter(
+    state: node.Node, event: events.Event, asks: int
+) -> address_lib.Address | None:
+    """Return this node if it leads, else whoever may lead."""
+    replica = state.control.replica
+    if replica is not None and replica.is_leader:
+        return state.settings.address
+    return submission.whom_to_ask(state, event, asks)
+
+
 def _settle(
     state: node.Node,
     event: events.Event,
--- a/src/monsoonpass/core/submission.py
+++ b/src/monsoonpass/core/submission.py
@@ -35,12 +35,14 @@
     Attributes:
         snapshot: The configuration.
         asked_s: When the operator asked.
+        tries: How often a leader was looked for.
         outstanding: Times that a leader may have taken it.
         last_forward_s: When it was last given to a leader.
     """
 
     snapshot: catalog_lib.Snapshot
     asked_s: float
+    tries: int = 0
     outstanding: int = 0
     last_forward_s: float = float("-inf")
 
@@ -171,6 +173,31 @@
     return result
 
 
+def whom_to_ask(
+    state: node.Node, event: events.Event, tries: int
+) -> address_lib.Address | None:
+    """Return a node that may lead, or know who does.
+
+    Args:
+        state: The node.
+        event: The cause, for its random bits.
+        tries: How often this was tried before. The leader last heard of comes
+            first; it may be dead or frozen, so any voter comes after.
+
+    Returns:
+        An address other than this node's, or None.
+    """
+    own = state.settings.address.instance
+    leader = leader_of(state)
+    if tries == 0 and leader is not None and leader.instance != own:
+        return leader
+    voters = cold_start.known_voters(state)
+    others = [voter for voter in voters if voter.instance != own]
+    if not others:
+        return None
+    return entropy_lib.Entropy(bits=event.entropy).choice(others)
+
+
 def _advance(
     state: node.Node, event: events.Event, request_id: int
 ) -> list[effects.Effect]:
@@ -202,23 +229,13 @@
             snapshot=pending.snapshot,
         )
         return [retry, *_enqueue(state, event, job)]
-    to = leader_of(state) or _some_voter(state, event)
-    if to is None or to.instance == state.settings.address.instance:
+    to = whom_to_ask(state, event, pending.tries)
+    pending.tries += 1
+    if to is None:
         return [retry]
     return [retry, effects.Send(to=to, message=messages.ColdRead())]
 
 
-def _some_voter(
-    state: node.Node, event: events.Event
-) -> address_lib.Address | None:
-    own = state.settings.address.instance
-    voters = cold_start.known_voters(state)
-    others = [voter for voter in voters if voter.instance != own]
-    if not others:
-        return None
-    return entropy_lib.Entropy(bits=event.entropy).choice(others)
-
-
 def _enqueue(
     state: node.Node, event: events.Event, job: Job
 ) -> list[effects.Effect]:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,5 +1,7 @@
 """Tests of distribution and membership over fake networks."""
 
+import pytest
+
 from monsoonpass.core import config_messages
 from monsoonpass.core import directory
 from monsoonpass.core import effects
@@ -167,6 +169,24 @@
         assert node.state.config.version == 2
 
 
+class TestSubmitFromAPlainNode:
+    @pytest.mark.parametrize("fault", ["crash", "freeze"])
+    def test_dead_or_frozen_leader_is_given_up(self, fault):
+        """Guard: `tries == 0` in submission.whom_to_ask."""
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("b1", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        if fault == "crash":
+            mesh.leader().crash()
+        else:
+            mesh.leader().suspended = True
+        number = mesh.submit("b1", fake_mesh.make_catalog(2, "x"))
+        mesh.run(6)
+        status = mesh.result("b1", number).status
+        assert status is config_messages.SubmitStatus.ACCEPTED
+
+
 class TestExchange:
     def test_relay_greets_few_data_centres_a_round(self):
         """Guard: `random.sample(others, GREETED_MAX)` in directory."""
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,92 @@
+"""Tests of real daemons under kills, freezes and lost disks."""
+
+import shutil
+import signal
+import time
+
+from benchmarks import fleet as fleet_lib
+import pytest
+
+from monsoonpass.standin import local_mesh
+
+TRIES = 400
+PAUSE_S = 0.05
+
+
+def text(version: int, name: str = "a") -> str:
+    """Return a small text."""
+    return f"version: {version}\nservices:\n  {name}:\n"
+
+
+def wait_for_version(fleet, version: int) -> None:
+    """Wait until every node is on a version."""
+    for _ in range(TRIES):
+        views = [fleet.view(node) for node in fleet.nodes]
+        if all(v and v["ready"] and v["version"] == version for v in views):
+            return
+        time.sleep(PAUSE_S)
+    pytest.fail(f"version {version} is not in force everywhere: {views}")
+
+
+def find_leader(fleet):
+    """Wait for a leader and return its node."""
+    for _ in range(TRIES):
+        for node in fleet.nodes:
+            view = fleet.view(node)
+            if view and view["role"] == "leader":
+                return node
+        time.sleep(PAUSE_S)
+    return pytest.fail("no leader")
+
+
+@pytest.fixture(name="fleet")
+def make_fleet(tmp_path):
+    """Run three voters and a node without a disk."""
+    names = ("n0", "n1", "n2")
+    places = [local_mesh.Place(instance=name) for name in (*names, "plain")]
+    with fleet_lib.Fleet(places=places, voters=names, folder=tmp_path) as fleet:
+        assert fleet.submit(fleet.nodes[3], text(1)) == "accepted"
+        wait_for_version(fleet, 1)
+        yield fleet
+
+
+class TestFailures:
+    def test_killed_leader(self, fleet):
+        leader = find_leader(fleet)
+        fleet.kill(leader)
+        assert fleet.submit(fleet.nodes[3], text(2)) == "accepted"
+        fleet.start(leader)
+        wait_for_version(fleet, 2)
+
+    def test_frozen_leader_does_not_accept_when_it_wakes(self, fleet):
+        leader = find_leader(fleet)
+        fleet.freeze(leader)
+        assert fleet.submit(fleet.nodes[3], text(2, "b")) == "accepted"
+        fleet.thaw(leader)
+        response = fleet.http.post(
+            f"{leader.operator_url}/v1/config", content=text(2, "c")
+        )
+        assert response.json()["status"] == "conflict"
+        wait_for_version(fleet, 2)
+
+    def test_all_killed_at_once(self, fleet):
+        for node in fleet.nodes:
+            fleet.kill(node)
+        for node in fleet.nodes:
+            fleet.start(node)
+        wait_for_version(fleet, 1)
+        assert fleet.submit(fleet.nodes[0], text(2)) == "accepted"
+        wait_for_version(fleet, 2)
+
+    def test_lost_disk(self, fleet, tmp_path):
+        lost = fleet.nodes[1]
+        fleet.kill(lost)
+        shutil.rmtree(tmp_path / lost.name)
+        fleet.start(lost)
+        assert fleet.submit(fleet.nodes[3], text(2)) == "accepted"
+        wait_for_version(fleet, 2)
+
+    def test_planned_stop_ends_with_code_0(self, fleet):
+        process = fleet.processes["plain"]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=20) == 0
