--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,175 @@
+"""Tests of what operators use: endpoint, tool, settings, traces, metrics."""
+
+import json
+import sys
+
+import anyio
+
+from monsoonpass.standin import local_mesh
+from tests import test_end_to_end
+
+PLACES = (
+    local_mesh.Place(instance="n0"),
+    local_mesh.Place(instance="n1", service="shop"),
+)
+TOKEN = "a-token-for-the-tests"
+TOOL = "from monsoonpass.cli import tool; tool.run()"
+DAEMON = "from monsoonpass.cli import daemon; daemon.run()"
+
+
+async def run_tool(*arguments: str, code: str = TOOL):
+    """Run the tool and return its exit code, output and errors."""
+    done = await anyio.run_process(
+        [sys.executable, "-c", code, *arguments], check=False
+    )
+    return done.returncode, done.stdout.decode(), done.stderr.decode()
+
+
+def run_scene(tmp_path, play, extra: str = "") -> None:
+    """Run a mesh and play a scene on it."""
+
+    async def run() -> None:
+        mesh = local_mesh.LocalMesh(
+            places=PLACES,
+            voters=["n0"],
+            folder=tmp_path,
+            extra_settings=extra,
+        )
+        with anyio.fail_after(60):
+            async with mesh:
+                await mesh.wait_for_members()
+                await play(mesh)
+
+    anyio.run(run)
+
+
+class TestTool:
+    def test_submit_wait_status_diff_and_explain(self, tmp_path):
+        path = tmp_path / "text.yaml"
+        path.write_text(test_end_to_end.TEXT.strip() + "\n")
+
+        async def play(mesh):
+            at = f"--node=127.0.0.1:{mesh.nodes[1].operators}"
+            code, out, _ = await run_tool("diff", str(path), at)
+            assert code == 0
+            assert "+ shop" in out
+            code, out, _ = await run_tool("submit", str(path), at, "--wait")
+            assert code == 0, out
+            assert "in force on 2 of 2 nodes" in out
+            code, out, _ = await run_tool("status", at, "--json")
+            status = json.loads(out)
+            assert status["places"][0]["counts"] == [{"version": 1, "nodes": 2}]
+            code, out, _ = await run_tool("explain", "GET shop/lots/1", at)
+            assert "idempotent: True" in out
+            code, out, _ = await run_tool("watch", at, "--times=1")
+            assert "version 1 on 2" in out
+            changed = path.read_text() + "  other:\n"
+            path.write_text(changed)
+            code, out, _ = await run_tool("submit", str(path), at)
+            assert code == 1
+            assert "conflict" in out
+
+        run_scene(tmp_path, play)
+
+    def test_exit_codes_without_a_mesh(self, tmp_path):
+        good = tmp_path / "good.yaml"
+        good.write_text("version: 1\nservices:\n  a:\n")
+        bad = tmp_path / "bad.yaml"
+        bad.write_text("services:\n  a:\n    depends_on: [b]\n")
+        port = local_mesh.free_ports(1)[0]
+
+        async def play():
+            at = f"--node=127.0.0.1:{port}"
+            assert (await run_tool("validate", str(good)))[0] == 0
+            code, _, err = await run_tool("validate", str(bad))
+            assert code == 1
+            assert "line 1" in err
+            assert (await run_tool("validate", "nowhere.yaml"))[0] == 2
+            assert (await run_tool("dance"))[0] == 2
+            assert (await run_tool("submit", str(good), at))[0] == 3
+            assert (await run_tool("status", at))[0] == 3
+
+        anyio.run(play)
+
+
+class TestDaemonSettings:
+    def test_each_fault_is_a_line_and_the_code_is_2(self, tmp_path):
+        path = tmp_path / "node.ini"
+        path.write_text("[node]\ninstance = n1\n[listen]\ncallers = x\n")
+
+        async def play():
+            code, _, err = await run_tool(f"--settings={path}", code=DAEMON)
+            assert code == 2
+            assert "[listen] callers" in err
+            assert "[node] region" in err
+            assert "[mesh]" in err
+
+        anyio.run(play)
+
+
+class TestToken:
+    def test_only_the_token_opens_the_endpoint(self, tmp_path):
+        async def play(mesh):
+            node = mesh.nodes[0]
+            response = await mesh.submit(node, test_end_to_end.TEXT)
+            assert response.status_code == 401
+            for path in ("/v1/config", "/v1/status", "/v1/node"):
+                response = await mesh.http.get(node.operator_url + path)
+                assert response.status_code == 401, path
+            response = await mesh.http.post(
+                f"{node.operator_url}/v1/config",
+                content=test_end_to_end.TEXT,
+                headers={"authorization": f"Bearer {TOKEN}"},
+            )
+            assert response.status_code == 200
+            response = await mesh.http.get(f"{node.operator_url}/healthz")
+            assert response.status_code == 200
+
+        run_scene(tmp_path, play, f"[operators]\ntoken = {TOKEN}\n")
+
+
+class TestTelemetry:
+    def test_every_hop_has_a_span_of_the_callers_trace(self, tmp_path):
+        trace_file = tmp_path / "trace.jsonl"
+        trace = "0af7651916cd43dd8448eb211c80319c"
+
+        async def play(mesh):
+            await mesh.submit(mesh.nodes[0], test_end_to_end.TEXT)
+            await mesh.wait_for_version(1)
+            response = await mesh.http.get(
+                f"{mesh.nodes[0].caller_url}/lots",
+                headers={
+                    "host": "shop",
+                    "traceparent": f"00-{trace}-b7ad6b7169203331-01",
+                },
+            )
+            assert response.status_code == 200
+
+        run_scene(tmp_path, play, f"[telemetry]\ntrace_file = {trace_file}\n")
+        spans = [json.loads(line) for line in trace_file.open()]
+        assert {span["name"] for span in spans} == {"call", "upstream"}
+        for span in spans:
+            assert span["context"]["trace_id"] == f"0x{trace}"
+
+    def test_metrics_are_rendered(self, tmp_path):
+        names = (
+            "monsoonpass_calls_total",
+            "monsoonpass_call_duration_seconds_bucket",
+            "monsoonpass_configuration_version 1.0",
+            "monsoonpass_members 2.0",
+            "monsoonpass_peer_bytes_total",
+        )
+
+        async def play(mesh):
+            await mesh.submit(mesh.nodes[0], test_end_to_end.TEXT)
+            await mesh.wait_for_version(1)
+            await mesh.http.get(
+                f"{mesh.nodes[0].caller_url}/lots", headers={"host": "shop"}
+            )
+            response = await mesh.http.get(
+                f"{mesh.nodes[0].operator_url}/metrics"
+            )
+            for name in names:
+                assert name in response.text, name
+
+        run_scene(tmp_path, play)
