--- a/src/monsoonpass/cli/daemon.py
+++ b/src/monsoonpass/cli/daemon.py
@@ -1,4 +1,14 @@
-"""The daemon `monsoonpassd`: runs one node from a settings file."""
+"""The daemon `monsoonpassd`: runs one node from a settings file.
+
+Usage:
+  monsoonpassd --settings node.ini           run until SIGTERM or SIGINT
+  monsoonpassd --settings node.ini --check   check the settings only
+
+A signal begins a planned stop: the upstream drains and calls in progress end.
+
+Exit codes: 0 stopped as planned; 2 wrong settings, one line for each fault;
+3 the data folder cannot be used; 4 an address cannot be bound.
+"""
 
 import signal
 import sys
@@ -26,6 +36,8 @@
 
 def run() -> None:
     """Run the daemon (entry point)."""
+    # absl shows the main module's description as the help.
+    sys.modules["__main__"].__doc__ = __doc__
     app.run(_main)
 
 
--- a/src/monsoonpass/cli/tool.py
+++ b/src/monsoonpass/cli/tool.py
@@ -68,6 +68,8 @@
 
 def run() -> None:
     """Run the tool (entry point)."""
+    # absl shows the main module's description as the help.
+    sys.modules["__main__"].__doc__ = __doc__
     app.run(_main)
 
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -71,6 +71,15 @@
 
         run_scene(tmp_path, play)
 
+    def test_help_explains_commands_and_exit_codes(self):
+        async def play():
+            for code, word in ((TOOL, "submit FILE"), (DAEMON, "node.ini")):
+                _, out, err = await run_tool("--help", code=code)
+                assert word in out + err
+                assert "Exit codes" in out + err
+
+        anyio.run(play)
+
     def test_exit_codes_without_a_mesh(self, tmp_path):
         good = tmp_path / "good.yaml"
         good.write_text("version: 1\nservices:\n  a:\n")
