--- a/src/monsoonpass/standin/local_mesh.py
+++ b/src/monsoonpass/standin/local_mesh.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import pathlib
+import random
 import socket
 
 import anyio
@@ -14,6 +15,8 @@
 from monsoonpass.standin import server as server_lib
 
 POLL_S = 0.02
+PORT_MIN = 18_000
+PORT_MAX = 32_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -208,13 +211,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that were free just now, for TCP and UDP."""
-    sockets = []
-    for _ in range(count):
-        listener = socket.socket()
-        listener.bind(("127.0.0.1", 0))
-        sockets.append(listener)
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
+    """Return ports of 127.0.0.1 that are free now, for TCP and UDP.
+
+    They lie below the range that systems give to outgoing connections, so
+    none of those takes one before it is bound.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(PORT_MIN, PORT_MAX)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
