Give an upstream that sheds load fewer slots; test bad input at HTTP

Bad announcements, texts and callers' headers had no test. A soak of 30,000 calls was not measured. Change: slots shrink by a fifth with each 503 and grow back with other answers; tests for both; experiment soak. Figures: in the test 8 slots become 3 after five sheds and 8 again after 80 answers.

--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,50 @@
+"""Memory of two daemons over many calls."""
+
+import pathlib
+import time
+
+import anyio
+
+from benchmarks import fleet as fleet_lib
+from benchmarks import hop
+from monsoonpass.standin import local_mesh
+
+
+async def _load(port: int, calls: int, connections: int) -> None:
+    async with anyio.create_task_group() as group:
+        for _ in range(connections):
+            group.start_soon(
+                hop.make_calls, port, "shop", calls // connections, 0.0
+            )
+
+
+def run(options: dict[str, str], folder: pathlib.Path) -> dict[str, object]:
+    """Make rounds of calls and read the memory after each."""
+    rounds = int(options["rounds"])
+    calls = int(options["calls"])
+    connections = int(options["connections"])
+    places = (
+        local_mesh.Place(instance="entry"),
+        local_mesh.Place(instance="owner", service="shop"),
+    )
+    result: dict[str, object] = {}
+    with (
+        fleet_lib.Upstream() as upstream,
+        fleet_lib.Fleet(
+            places=places, voters=["owner"], folder=folder
+        ) as fleet,
+    ):
+        entry, owner = fleet.nodes
+        fleet.announce(owner, upstream.port, slots=64)
+        fleet.submit(owner, hop.TEXT)
+        time.sleep(2.0)
+        for number in range(rounds):
+            started_s = time.monotonic()
+            anyio.run(_load, entry.callers, calls, connections)
+            took_s = time.monotonic() - started_s
+            result[f"after {calls * (number + 1)} calls"] = {
+                "entry_mb": round(fleet.memory_bytes(entry) / 1e6, 1),
+                "owner_mb": round(fleet.memory_bytes(owner) / 1e6, 1),
+                "calls_per_s": round(calls / took_s),
+            }
+    return result
--- a/src/monsoonpass/core/admission.py
+++ b/src/monsoonpass/core/admission.py
@@ -25,6 +25,7 @@
 MEDIAN_DECAY = 0.8
 SLOW_START_S = 5.0
 SLOW_START_SHARE = 0.25
+SHED_FACTOR = 0.8
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -125,6 +126,7 @@
         self._short_seen = 0
         self._window_start_s = 0.0
         self._ready_s = -math.inf
+        self._shed_limit = math.inf
 
     @property
     def queued(self) -> int:
@@ -169,6 +171,7 @@
         """Take the upstream's announcement."""
         self.service = service
         self.slots = slots
+        self._shed_limit = float(slots)
         self.upstream = member_lib.UpstreamState.READY
         self._ready_s = now_s if cold else -math.inf
 
@@ -217,13 +220,34 @@
         return decision
 
     def finish(
-        self, work_id: int, *, service_time_s: float, ok: bool, now_s: float
+        self,
+        work_id: int,
+        *,
+        service_time_s: float,
+        ok: bool,
+        now_s: float,
+        shed: bool = False,
     ) -> Decision:
-        """Free a slot, learn the service time and dispatch what waits."""
+        """Free a slot, learn the service time and dispatch what waits.
+
+        Args:
+            work_id: The work that ended.
+            service_time_s: Time from its dispatch to its end.
+            ok: Whether it got a whole answer.
+            now_s: Time of the event.
+            shed: Whether the upstream refused it for load.
+
+        Returns:
+            What is dispatched, and refused, now.
+        """
         decision = Decision()
         work = self.in_progress.pop(work_id, None)
-        if work is not None and ok:
+        if shed:
+            self._shed_limit = max(self._shed_limit * SHED_FACTOR, 1.0)
+        elif work is not None and ok:
             self._learn(work, service_time_s)
+            self._shed_limit += 1.0 / self._shed_limit
+            self._shed_limit = min(self._shed_limit, float(self.slots))
         self._fill_slots(decision, now_s)
         return decision
 
@@ -282,14 +306,19 @@
         return times.mean_s > LONG_FACTOR * self._short_s
 
     def _usable_slots(self, now_s: float) -> int:
-        """Return the slots in use; a cold upstream gets them step by step."""
+        """Return the slots in use.
+
+        A cold upstream gets them step by step; one that sheds load loses a
+        part of them and gets them back as it answers.
+        """
+        slots = min(self.slots, int(self._shed_limit))
         age_s = now_s - self._ready_s
         if age_s >= SLOW_START_S:
-            return self.slots
+            return slots
         share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * (
             age_s / SLOW_START_S
         )
-        return max(1, int(self.slots * share))
+        return max(1, int(slots * share))
 
     def _reserved_for_short(self) -> int:
         """Return the slots that long work leaves free (Little's law)."""
--- a/src/monsoonpass/core/calls.py
+++ b/src/monsoonpass/core/calls.py
@@ -170,6 +170,7 @@
         service_time_s=event.service_time_s,
         ok=event.failure is None,
         now_s=event.now_s,
+        shed=event.shed,
     )
     state.peer_works.pop(event.work_id, None)
     result = attempts.perform(state, event, decision)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -60,6 +60,29 @@
         assert len(own.in_progress) == 8
 
 
+class TestShedding:
+    def test_upstream_that_sheds_gets_less_and_then_more_again(self):
+        """Guard: `if shed` in Admission.finish."""
+        own = make(slots=8, queue_limit=1000)
+        for number in range(8):
+            own.offer(work(number), 0.0)
+        for number in range(5):
+            own.finish(
+                number, service_time_s=0.001, ok=True, now_s=0.1, shed=True
+            )
+        for number in range(100, 120):
+            own.offer(work(number), 0.2)
+        reduced = len(own.in_progress)
+        assert reduced == 3
+        for number in range(200, 280):
+            running = next(iter(own.in_progress))
+            own.finish(running, service_time_s=0.001, ok=True, now_s=0.3)
+            own.offer(work(number), 0.3)
+        for number in range(9000, 9020):
+            own.offer(work(number), 0.4)
+        assert len(own.in_progress) == 8
+
+
 class TestOrder:
     def test_priority_then_deadline(self):
         own = make(slots=1)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -137,6 +137,43 @@
         run_scene(tmp_path, play, f"[operators]\ntoken = {TOKEN}\n")
 
 
+class TestBadInput:
+    def test_bad_announcements_and_texts_have_a_typed_answer(self, tmp_path):
+        async def play(mesh):
+            url = mesh.nodes[0].operator_url
+            for body in (b"", b"[]", b'{"service": "x"}', b"\xff"):
+                response = await mesh.http.post(
+                    f"{url}/v1/upstream", content=body
+                )
+                assert response.status_code == 422
+                assert response.json()["status"] == "invalid"
+            for body in (b"\xff", b"version: x", b"- a"):
+                response = await mesh.http.post(
+                    f"{url}/v1/config", content=body
+                )
+                assert response.status_code == 422
+            long = b"#" * 5_000_000
+            response = await mesh.http.post(f"{url}/v1/config", content=long)
+            assert response.status_code == 413
+            response = await mesh.http.get(f"{url}/nowhere")
+            assert response.status_code == 404
+            await mesh.submit(mesh.nodes[0], test_end_to_end.TEXT)
+            await mesh.wait_for_version(1)
+            response = await mesh.http.get(
+                f"{mesh.nodes[0].caller_url}/lots",
+                headers={"host": "shop", "monsoonpass-timeout-ms": "soon"},
+            )
+            assert response.status_code == 200
+            response = await mesh.http.post(
+                f"{mesh.nodes[0].caller_url}/payments",
+                headers={"host": "shop", "idempotency-key": "k" * 300},
+            )
+            assert response.status_code == 413
+            assert response.headers["monsoonpass-outcome"] == "not-run"
+
+        run_scene(tmp_path, play)
+
+
 class TestTelemetry:
     def test_every_hop_has_a_span_of_the_callers_trace(self, tmp_path):
         trace_file = tmp_path / "trace.jsonl"
