--- a/benchmarks/bulk.py
+++ b/benchmarks/bulk.py
@@ -9,7 +9,6 @@
 from benchmarks import fleet as fleet_lib
 from benchmarks import histogram
 from benchmarks import hop
-from monsoonpass.standin import local_mesh
 
 TEXT = hop.TEXT.replace(
     "      - path: /\n",
@@ -81,20 +80,8 @@
     """Pass a large body through two nodes beside short calls."""
     size_bytes = int(options["megabytes"]) * 1_000_000
     calls = int(options["calls"])
-    places = (
-        local_mesh.Place(instance="entry"),
-        local_mesh.Place(instance="owner", service="shop"),
-    )
-    with (
-        fleet_lib.Upstream() as upstream,
-        fleet_lib.Fleet(
-            places=places, voters=["owner"], folder=folder
-        ) as fleet,
-    ):
-        entry, owner = fleet.nodes
-        fleet.announce(owner, upstream.port, slots=64)
-        fleet.submit(owner, TEXT)
-        time.sleep(2.0)
+    with fleet_lib.run_pair(folder, TEXT) as pair:
+        fleet, entry = pair.fleet, pair.entry
         alone = anyio.run(hop.make_calls, entry.callers, "shop", calls, 0.005)
         before = {n.name: fleet.memory_bytes(n) for n in fleet.nodes}
         watch = MemoryWatch(fleet=fleet)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,6 +1,9 @@
 """Starts and ends real daemons on loopback, by process id."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
+import dataclasses
 import os
 import pathlib
 import signal
@@ -14,6 +17,7 @@
 from monsoonpass.standin import local_mesh
 
 START_LIMIT_S = 60.0
+SETTLE_S = 2.0
 
 
 class Fleet:
@@ -172,3 +176,51 @@
     def __exit__(self, *unused: object) -> None:
         self._process.kill()
         self._process.wait()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pair:
+    """An entry node and an owner node with a stand-in upstream.
+
+    Attributes:
+        fleet: Both daemons.
+        entry: The node without an upstream.
+        owner: The node beside the upstream.
+        upstream_port: Where the upstream listens.
+    """
+
+    fleet: Fleet
+    entry: local_mesh.LocalNode
+    owner: local_mesh.LocalNode
+    upstream_port: int
+
+
+@contextlib.contextmanager
+def run_pair(folder: pathlib.Path, text: str) -> Iterator[Pair]:
+    """Run a pair of nodes with a text in force, ready for calls.
+
+    Args:
+        folder: For settings and data.
+        text: Operator text with a service "shop".
+
+    Yields:
+        The pair.
+    """
+    places = (
+        local_mesh.Place(instance="entry"),
+        local_mesh.Place(instance="owner", service="shop"),
+    )
+    with (
+        Upstream() as upstream,
+        Fleet(places=places, voters=["owner"], folder=folder) as fleet,
+    ):
+        entry, owner = fleet.nodes
+        fleet.announce(owner, upstream.port, slots=64)
+        fleet.submit(owner, text)
+        time.sleep(SETTLE_S)
+        yield Pair(
+            fleet=fleet,
+            entry=entry,
+            owner=owner,
+            upstream_port=upstream.port,
+        )
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -8,7 +8,6 @@
 
 from benchmarks import fleet as fleet_lib
 from benchmarks import histogram
-from monsoonpass.standin import local_mesh
 
 TEXT = """
 version: 1
@@ -78,23 +77,11 @@
     count = int(options["calls"])
     pause_s = float(options["pause_ms"]) / 1000.0
     rounds = int(options["rounds"])
-    places = (
-        local_mesh.Place(instance="entry"),
-        local_mesh.Place(instance="owner", service="shop"),
-    )
     found: dict[str, list[float]] = {}
-    with (
-        fleet_lib.Upstream() as upstream,
-        fleet_lib.Fleet(
-            places=places, voters=["owner"], folder=folder
-        ) as fleet,
-    ):
-        entry, owner = fleet.nodes
-        fleet.announce(owner, upstream.port, slots=64)
-        fleet.submit(owner, TEXT)
-        time.sleep(2.0)
+    with fleet_lib.run_pair(folder, TEXT) as pair:
+        entry, owner = pair.entry, pair.owner
         targets = {
-            "none": upstream.port,
+            "none": pair.upstream_port,
             "direct": owner.callers,
             "hop": entry.callers,
         }
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -256,20 +256,8 @@
 def _calls(folder: pathlib.Path, sizes: list[int]) -> dict[str, object]:
     """Make calls through two daemons and read their processor time."""
     entry_ms, owner_ms = {}, {}
-    places = (
-        local_mesh.Place(instance="entry"),
-        local_mesh.Place(instance="owner", service="shop"),
-    )
-    with (
-        fleet_lib.Upstream() as upstream,
-        fleet_lib.Fleet(
-            places=places, voters=["owner"], folder=folder / "calls"
-        ) as fleet,
-    ):
-        entry, owner = fleet.nodes
-        fleet.announce(owner, upstream.port, slots=64)
-        fleet.submit(owner, hop.TEXT)
-        time.sleep(2.0)
+    with fleet_lib.run_pair(folder / "calls", hop.TEXT) as pair:
+        fleet, entry, owner = pair.fleet, pair.entry, pair.owner
         for size in sizes:
             before = fleet.cpu_s(entry), fleet.cpu_s(owner)
             anyio.run(hop.make_calls, entry.callers, "shop", size, 0.0)
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -7,7 +7,6 @@
 
 from benchmarks import fleet as fleet_lib
 from benchmarks import hop
-from monsoonpass.standin import local_mesh
 
 
 async def _load(port: int, calls: int, connections: int) -> None:
@@ -23,21 +22,9 @@
     rounds = int(options["rounds"])
     calls = int(options["calls"])
     connections = int(options["connections"])
-    places = (
-        local_mesh.Place(instance="entry"),
-        local_mesh.Place(instance="owner", service="shop"),
-    )
     result: dict[str, object] = {}
-    with (
-        fleet_lib.Upstream() as upstream,
-        fleet_lib.Fleet(
-            places=places, voters=["owner"], folder=folder
-        ) as fleet,
-    ):
-        entry, owner = fleet.nodes
-        fleet.announce(owner, upstream.port, slots=64)
-        fleet.submit(owner, hop.TEXT)
-        time.sleep(2.0)
+    with fleet_lib.run_pair(folder, hop.TEXT) as pair:
+        fleet, entry, owner = pair.fleet, pair.entry, pair.owner
         for number in range(rounds):
             started_s = time.monotonic()
             anyio.run(_load, entry.callers, calls, connections)
