Call the reducer's derived random numbers 'draws'

Cause: seven modules of core/ had a local variable named like the standard library's random module, which the core must not use; a reader had to look twice. Change: the variable is called draws. Nothing else differs.

--- a/src/monsoonpass/core/cold_start.py
+++ b/src/monsoonpass/core/cold_start.py
@@ -62,10 +62,10 @@
     ceiling_s = min(
         COLD_RETRY_S * 2 ** min(config.cold_attempts, 4), COLD_RETRY_MAX_S
     )
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     retry = effects.SetTimer(
         timer=events.ColdStartRetry(),
-        delay_s=random.uniform(0.5 * COLD_RETRY_S, ceiling_s),
+        delay_s=draws.uniform(0.5 * COLD_RETRY_S, ceiling_s),
     )
     own = state.settings.address
     replica = state.control.replica
@@ -74,7 +74,7 @@
     voters = [v for v in known_voters(state) if v.instance != own.instance]
     if not voters:
         return [retry]
-    to = random.choice(voters)
+    to = draws.choice(voters)
     return [effects.Send(to=to, message=messages.ColdRead()), retry]
 
 
--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/control.py
@@ -56,10 +56,10 @@
     if identities:
         control.identity = identities[-1]
     else:
-        random = entropy_lib.Entropy(bits=event.entropy ^ event.wall_ms)
+        draws = entropy_lib.Entropy(bits=event.entropy ^ event.wall_ms)
         control.identity = records.Identity(
             instance=state.settings.address.instance,
-            replica_id=(random.bits64() >> 2) | 1,
+            replica_id=(draws.bits64() >> 2) | 1,
             group=0,
         )
         result.append(state.disk.write([control.identity]))
--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/directory.py
@@ -98,8 +98,8 @@
         directory.contacts[seed.data_centre] = (*known, seed.address)
     if not directory.contacts:
         return []
-    random = entropy_lib.Entropy(bits=event.entropy)
-    delay_s = random.uniform(0.05, 0.3)
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    delay_s = draws.uniform(0.05, 0.3)
     return [effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)]
 
 
@@ -164,8 +164,8 @@
 def _(
     timer: events.Exchange, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
-    random = entropy_lib.Entropy(bits=event.entropy)
-    delay_s = random.uniform(0.75 * EXCHANGE_S, 1.25 * EXCHANGE_S)
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    delay_s = draws.uniform(0.75 * EXCHANGE_S, 1.25 * EXCHANGE_S)
     result: list[effects.Effect] = [
         effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)
     ]
@@ -174,8 +174,8 @@
         return result
     greeting = _greeting(state, event.now_s, wants_reply=True)
     others = sorted(state.directory.contacts)
-    for data_centre in random.sample(others, GREETED_MAX):
-        to = _contact(state, data_centre, random)
+    for data_centre in draws.sample(others, GREETED_MAX):
+        to = _contact(state, data_centre, draws)
         result.append(effects.Send(to=to, message=greeting))
     return result
 
@@ -251,16 +251,16 @@
 def _ask_across(
     state: node.Node, event: events.Event, service: str
 ) -> list[effects.Effect]:
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     query = EndpointQuery(service=service, across=True)
     return [
-        effects.Send(to=_contact(state, data_centre, random), message=query)
+        effects.Send(to=_contact(state, data_centre, draws), message=query)
         for data_centre in sorted(state.directory.contacts)
     ]
 
 
 def _contact(
-    state: node.Node, data_centre: str, random: entropy_lib.Entropy
+    state: node.Node, data_centre: str, draws: entropy_lib.Entropy
 ) -> address_lib.Address:
     """Return a contact; now and then a seed, in case contacts are gone."""
     seeds = [
@@ -269,9 +269,9 @@
         if seed.data_centre == data_centre
     ]
     contacts = state.directory.contacts[data_centre]
-    if seeds and random.below(4) == 0:
-        return random.choice(seeds)
-    return random.choice(contacts)
+    if seeds and draws.below(4) == 0:
+        return draws.choice(seeds)
+    return draws.choice(contacts)
 
 
 def _greeting(
@@ -300,8 +300,8 @@
 ) -> tuple[member_lib.Member, ...]:
     group = state.membership.table.by_service.get(service, {})
     serving = [m for m in group.values() if routing.serves(m)]
-    random = entropy_lib.Entropy(bits=event.entropy)
-    return tuple(random.sample(serving, ENDPOINTS_MAX))
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    return tuple(draws.sample(serving, ENDPOINTS_MAX))
 
 
 def _forget_unwanted(state: node.Node, now_s: float) -> None:
--- a/src/monsoonpass/core/gossip.py
+++ b/src/monsoonpass/core/gossip.py
@@ -146,9 +146,9 @@
     others = [
         m.address for m in state.membership.table.alive() if m.instance != own
     ]
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     result: list[effects.Effect] = []
-    for to in random.sample(others, GOSSIP_FAN_OUT):
+    for to in draws.sample(others, GOSSIP_FAN_OUT):
         updates = take_updates(state)
         if not updates:
             break
--- a/src/monsoonpass/core/membership.py
+++ b/src/monsoonpass/core/membership.py
@@ -226,20 +226,20 @@
     seeds = [seed.address for seed in state.settings.local_seeds]
     if not seeds:
         return []
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     retry = effects.SetTimer(
         timer=events.Join(),
-        delay_s=random.uniform(0.5 * JOIN_RETRY_S, 1.5 * JOIN_RETRY_S),
+        delay_s=draws.uniform(0.5 * JOIN_RETRY_S, 1.5 * JOIN_RETRY_S),
     )
-    return [_sync_request(state, random.choice(seeds)), retry]
+    return [_sync_request(state, draws.choice(seeds)), retry]
 
 
 def _contact_lost(
     state: node.Node, event: events.Event
 ) -> list[effects.Effect]:
     """Sometimes try a seed that is not present, to mend a split table."""
-    random = entropy_lib.Entropy(bits=event.entropy ^ 0x5EED)
-    if random.below(PROBES_PER_RECONTACT):
+    draws = entropy_lib.Entropy(bits=event.entropy ^ 0x5EED)
+    if draws.below(PROBES_PER_RECONTACT):
         return []
     table = state.membership.table
     lost = []
@@ -247,7 +247,7 @@
         member = table.get(seed.address.instance)
         if member is None or not member.is_present:
             lost.append(seed.address)
-    return [_sync_request(state, random.choice(lost))] if lost else []
+    return [_sync_request(state, draws.choice(lost))] if lost else []
 
 
 def _sync_request(state: node.Node, to: address_lib.Address) -> effects.Send:
@@ -270,8 +270,8 @@
                 for m in membership.table.present()
                 if m.instance != own
             ]
-            random = entropy_lib.Entropy(bits=event.entropy)
-            membership.probe_order = random.sample(names, len(names))
+            draws = entropy_lib.Entropy(bits=event.entropy)
+            membership.probe_order = draws.sample(names, len(names))
             if not names:
                 return None
         member = membership.table.get(membership.probe_order.pop())
--- a/src/monsoonpass/core/routing.py
+++ b/src/monsoonpass/core/routing.py
@@ -55,14 +55,14 @@
     Returns:
         The choice, or None without any candidate.
     """
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     local = _best_of_two(
-        state, _local(state, event, service, tried), random, event.now_s
+        state, _local(state, event, service, tried), draws, event.now_s
     )
     if local is not None and not _is_saturated(state, local, event.now_s):
         return local
     remote = _best_of_two(
-        state, remote_candidates(state, service, tried), random, event.now_s
+        state, remote_candidates(state, service, tried), draws, event.now_s
     )
     if local is None or remote is None:
         return local or remote
@@ -127,7 +127,7 @@
 def _best_of_two(
     state: node.Node,
     candidates: list[Candidate],
-    random: entropy_lib.Entropy,
+    draws: entropy_lib.Entropy,
     now_s: float,
 ) -> Candidate | None:
     if not candidates:
@@ -136,7 +136,7 @@
         return candidates[0]
     first, second = (
         dataclasses.replace(candidate, reroutable=True)
-        for candidate in random.sample(candidates, 2)
+        for candidate in draws.sample(candidates, 2)
     )
     if _predict(state, second, now_s) < _predict(state, first, now_s):
         return second
--- a/src/monsoonpass/core/survey.py
+++ b/src/monsoonpass/core/survey.py
@@ -173,14 +173,14 @@
         expected={*others, state.settings.data_centre},
         places={},
     )
-    random = entropy_lib.Entropy(bits=event.entropy)
+    draws = entropy_lib.Entropy(bits=event.entropy)
     result: list[effects.Effect] = [
         effects.SetTimer(
             timer=TotalTimeout(number=number), delay_s=TOTAL_TIMEOUT_S
         )
     ]
     for data_centre in others:
-        contact = random.choice(state.directory.contacts[data_centre])
+        contact = draws.choice(state.directory.contacts[data_centre])
         query = PlaceQuery(number=number)
         result.append(effects.Send(to=contact, message=query))
     return result + _survey_members(
