Remove dead state and names; rank relays once instead of twice

Cause: reading the whole change once more: - peer_works was written with each forwarded call and read by nobody, and so was PeerCallArrived.sender; - a chunk size, a method and an import for registrations were dead; - asking for remote endpoints, which a call may trigger, ranked all members of the data centre twice and sorted them for two relays; - the choice of an instance copied both candidates to return one. Change: the dead parts are gone; the ranking is done once, with nsmallest; only the chosen candidate is copied. Behaviour and checks are as they were.

--- a/src/monsoonpass/core/attempts.py
+++ b/src/monsoonpass/core/attempts.py
@@ -82,7 +82,6 @@
         work_id = refused.work.work_id
         call = state.calls.get(work_id)
         if call is None:
-            state.peer_works.pop(work_id, None)
             result += refuse(state, event, work_id, refused.failure)
             continue
         number = own_attempt(state, call)
--- a/src/monsoonpass/core/calls.py
+++ b/src/monsoonpass/core/calls.py
@@ -172,7 +172,6 @@
         now_s=event.now_s,
         shed=event.shed,
     )
-    state.peer_works.pop(event.work_id, None)
     result = attempts.perform(state, event, decision)
     result += own_upstream.judge(state, event)
     call = state.calls.get(event.work_id)
@@ -226,7 +225,6 @@
             event.work_id,
             call_lib.not_run(Reason.NO_UPSTREAM, None),
         )
-    state.peer_works[event.work_id] = event.sender
     decision = state.admission.offer(work, event.now_s)
     return attempts.perform(state, event, decision)
 
@@ -236,7 +234,6 @@
     event: events.PeerCallCancelled, state: node.Node
 ) -> list[effects.Effect]:
     if state.admission.withdraw(event.work_id):
-        state.peer_works.pop(event.work_id, None)
         return attempts.refuse(
             state,
             event,
--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/directory.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import heapq
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
@@ -105,9 +106,12 @@
 
 def relays(state: node.Node, salt: str) -> list[address_lib.Address]:
     """Return the relays of the own data centre for a subject."""
-    members = state.membership.table.alive()
-    members.sort(key=lambda m: member_table.rank(m.instance, salt))
-    return [m.address for m in members[:RELAYS]]
+    first = heapq.nsmallest(
+        RELAYS,
+        state.membership.table.alive(),
+        key=lambda m: member_table.rank(m.instance, salt),
+    )
+    return [m.address for m in first]
 
 
 def is_relay(state: node.Node, salt: str) -> bool:
@@ -153,10 +157,10 @@
     directory.asked_s[service] = event.now_s
     salt = f"relay/{service}"
     own = state.settings.address.instance
-    others = [r for r in relays(state, salt) if r.instance != own]
-    if not is_relay(state, salt) and others:
+    chosen = relays(state, salt)
+    if chosen and all(relay.instance != own for relay in chosen):
         query = EndpointQuery(service=service, across=False)
-        return [effects.Send(to=others[0], message=query)]
+        return [effects.Send(to=chosen[0], message=query)]
     return _ask_across(state, event, service)
 
 
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -273,7 +273,6 @@
 
     Attributes:
         work_id: The call's number at this node.
-        sender: Instance that forwarded it.
         service: Service addressed.
         timeout_s: Time left until its deadline.
         priority: Order of admission, lowest first.
@@ -283,7 +282,6 @@
     """
 
     work_id: int
-    sender: str
     service: str
     timeout_s: float
     priority: int
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -233,7 +233,6 @@
         calls: Calls in progress through this node, by call id.
         keyed_calls: Claims of calls with a key, by call id.
         abandoned_claims: Claims whose calls were given up unrun.
-        peer_works: Calls that peers forwarded here, by work id.
         surveys: Status surveys under way, by number.
         stopping: Whether a planned stop has begun.
         stop_at_s: When a planned stop ends at the latest.
@@ -258,7 +257,6 @@
     calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     keyed_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     abandoned_claims: dict[int, Any] = dataclasses.field(default_factory=dict)
-    peer_works: dict[int, Any] = dataclasses.field(default_factory=dict)
     surveys: dict[int, Any] = dataclasses.field(default_factory=dict)
     survey_number: int = 0
     stopping: bool = False
--- a/src/monsoonpass/core/routing.py
+++ b/src/monsoonpass/core/routing.py
@@ -134,13 +134,10 @@
         return None
     if len(candidates) == 1:
         return candidates[0]
-    first, second = (
-        dataclasses.replace(candidate, reroutable=True)
-        for candidate in draws.sample(candidates, 2)
-    )
+    first, second = draws.sample(candidates, 2)
     if _predict(state, second, now_s) < _predict(state, first, now_s):
-        return second
-    return first
+        first = second
+    return dataclasses.replace(first, reroutable=True)
 
 
 def _predict(state: node.Node, candidate: Candidate, now_s: float) -> float:
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -11,7 +11,6 @@
 from monsoonpass import errors
 from monsoonpass.border import journal as journal_lib
 from monsoonpass.border import settings as settings_lib
-from monsoonpass.core import call_messages
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
@@ -227,6 +226,3 @@
 
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
-
-
-assert call_messages  # Imported for its registrations.
--- a/src/monsoonpass/runtime/link.py
+++ b/src/monsoonpass/runtime/link.py
@@ -18,7 +18,6 @@
 QUEUE_MAX_BYTES = 16 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 SEND_BYTES = 64 * 1024
-BULK_BYTES = 16 * 1024
 
 
 class LinkQueueFullError(errors.TransportError):
--- a/src/monsoonpass/runtime/peer_calls.py
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -269,7 +269,6 @@
         self._engine.feed(
             events.PeerCallArrived,
             work_id=work_id,
-            sender=link.peer.instance,
             service=message.service,
             timeout_s=message.timeout_s,
             priority=message.priority,
--- a/src/monsoonpass/runtime/remote_attempts.py
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -83,10 +83,6 @@
         engine.on(effects.Forward, self._forward)
         engine.on(effects.CancelForward, self._cancel_forward)
 
-    def is_under_way(self, attempt: RemoteAttempt) -> bool:
-        """Return whether an attempt has not ended."""
-        return attempt.number in self._attempts
-
     def receive_call_message(self, link: link_lib.Link, message: Any) -> None:
         """Take an owner's message about an attempt of this node."""
         attempt = self._attempts.get(message.call)
--- a/tests/fake_calls.py
+++ b/tests/fake_calls.py
@@ -126,7 +126,6 @@
         target.feed(
             events.PeerCallArrived,
             work_id=number,
-            sender=self.name,
             service="shop",
             timeout_s=effect.timeout_s,
             priority=effect.priority,
