Test routes by host, announcements, reads, the server and stray answers

Each subject gets a class; the guarding line that each invariant test needs is named in its doc text. The fake mesh submits on a base, so that its oracle judges conditional submits too.

--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -253,7 +253,9 @@
             if not node.alive:
                 node.start()
 
-    def submit(self, name: str, catalog: catalog_lib.Catalog) -> int:
+    def submit(
+        self, name: str, catalog: catalog_lib.Catalog, base_version: int = -1
+    ) -> int:
         """Submit a configuration at a node; return the request's number."""
         request_id = next(self._requests)
         key = (catalog.version, catalog.digest)
@@ -263,6 +265,7 @@
             events.SubmitRequested,
             request_id=request_id,
             snapshot=catalog.snapshot(),
+            base_version=base_version,
         )
         return request_id
 
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,41 @@
+"""Tests of what an upstream's answer is worth."""
+
+import pytest
+
+from monsoonpass.border import header_names
+from monsoonpass.core import answers
+
+NAMES = header_names.HeaderNames(
+    upstream_id=b"for", not_run=b"not-run", proof=b"proof"
+)
+Verdict = answers.Verdict
+
+
+class TestJudge:
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected"),
+        [
+            (200, {b"proof": b"x"}, Verdict.PASS),
+            (500, {b"proof": b"x"}, Verdict.PASS),
+            (504, {}, Verdict.PASS),
+            (200, {}, Verdict.UNPROVEN),
+            (
+                200,
+                {b"proof": b"x", b"content-encoding": b"gzip"},
+                Verdict.UNPROVEN,
+            ),
+            (503, {b"not-run": b"1"}, Verdict.NOT_RUN),
+            (503, {b"proof": b"x"}, Verdict.UNPROVEN),
+            (429, {}, Verdict.UNPROVEN),
+            (408, {}, Verdict.UNPROVEN),
+            (421, {}, Verdict.REPLACED),
+        ],
+    )
+    def test_only_proven_answers_and_promises_pass(
+        self, status, headers, expected
+    ):
+        assert answers.judge(status, headers, NAMES) is expected
+
+    def test_without_names_every_answer_passes(self):
+        names = header_names.HeaderNames()
+        assert answers.judge(503, {}, names) is Verdict.PASS
--- /dev/null
+++ b/tests/test_host_route.py
@@ -0,0 +1,116 @@
+"""Tests of routes by host: the longest prefix, deltas in order, shares."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from monsoonpass import codec
+from monsoonpass import errors
+from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core import host_route
+from monsoonpass.core import shares
+
+PATHS = st.lists(st.sampled_from("abcdefgh"), unique=True)
+
+
+def make_route(path: str, **changes) -> host_route.HostRoute:
+    """Return a route of the host `shop.example`."""
+    fields = {
+        "name": f"r{path}",
+        "host": "shop.example",
+        "path": path,
+        "kind": host_route.Kind.IDEMPOTENT,
+        "deadline_s": 1.0,
+        "objective_s": 0.5,
+        "priority": 1,
+        "attempts_max": 2,
+        "service": "shop",
+    }
+    return host_route.HostRoute(**{**fields, **changes})
+
+
+def make_catalog(version: int, *routes, services=("shop", "pay")):
+    """Return a configuration with some routes by host."""
+    return catalog_lib.Catalog(
+        version=version,
+        services={
+            name: catalog_lib.Service(name=name, depends_on=(), routes=())
+            for name in services
+        },
+        routes=tuple(routes),
+    )
+
+
+class TestMatch:
+    def test_longest_prefix_of_the_host_wins(self):
+        catalog = make_catalog(
+            1, make_route("/"), make_route("/lots/"), make_route("/lots/old/")
+        )
+        for path, name in (
+            ("/lots/7", "r/lots/"),
+            ("/lots/old/7", "r/lots/old/"),
+            ("/lots", "r/"),
+        ):
+            assert catalog.match("shop.example", "GET", path).name == name
+
+    def test_other_hosts_and_paths_have_no_route(self):
+        catalog = make_catalog(1, make_route("/lots/"))
+        assert catalog.match("shop.example", "GET", "/lot/7") is None
+        assert catalog.match("pay.example", "GET", "/lots/7") is None
+
+    def test_route_to_an_unknown_service_is_refused(self):
+        with pytest.raises(errors.NotClosedError):
+            make_catalog(1, make_route("/", service="nowhere"))
+
+
+class TestDelta:
+    @hypothesis.given(PATHS, PATHS, st.randoms(use_true_random=False))
+    def test_delta_leads_to_the_new_routes_in_their_order(
+        self, old, new, draws
+    ):
+        base = make_catalog(1, *(make_route(f"/{path}/") for path in old))
+        target = make_catalog(
+            2,
+            *(
+                make_route(f"/{path}/", service=draws.choice(("shop", "pay")))
+                for path in new
+            ),
+        )
+        delta = codec.decode(codec.encode(base.delta_to(target)))
+        result = base.apply(delta)
+        assert result.routes == target.routes
+        assert result.digest == target.digest
+
+    def test_one_more_route_makes_a_short_delta(self):
+        routes = [make_route(f"/{number}/") for number in range(300)]
+        base = make_catalog(1, *routes)
+        delta = base.delta_to(make_catalog(2, *routes, make_route("/new/")))
+        assert len(delta.routes_changed) == 1
+        assert len(codec.encode(delta)) < 300
+
+
+class TestShares:
+    @pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (7, 2, 1)])
+    def test_each_part_gets_its_share_of_few_calls(self, weights):
+        """Guard: `known.credits[first] -= 1.0` in shares.pick."""
+        parts = tuple(
+            host_route.Part(service=f"s{number}", weight=weight)
+            for number, weight in enumerate(weights)
+        )
+        route = make_route("/", service="", parts=parts)
+        match = catalog_lib.Match(
+            route=route, name=route.name, services=route.services
+        )
+        turns: dict[str, shares.Turns] = {}
+        draws = random.Random(7)
+        for calls in (50, 50):
+            counted = collections.Counter(
+                shares.pick(turns, match, draws.getrandbits(64))
+                for _ in range(calls)
+            )
+            for part in parts:
+                share = part.weight / sum(weights)
+                assert abs(counted[part.service] - share * calls) <= 2
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,220 @@
+"""Tests of the server for callers, over real sockets on loopback."""
+
+import anyio
+
+from monsoonpass.core import host_route
+from monsoonpass.runtime import http_server
+from monsoonpass.standin import local_mesh
+
+LIMITS = host_route.Limits(header_max_bytes=2048, header_timeout_s=0.2)
+
+
+class Scene:
+    """A server with an application of a test's own."""
+
+    def __init__(self, app):
+        self.closing = False
+        self.port = local_mesh.free_ports(1)[0]
+        self.server = http_server.Server(
+            app=app, limits=lambda: LIMITS, is_closing=lambda: self.closing
+        )
+
+    async def open(self):
+        """Open a connection, as soon as the server listens."""
+        while True:
+            try:
+                return await anyio.connect_tcp("127.0.0.1", self.port)
+            except OSError:
+                await anyio.sleep(0.01)
+
+
+def play(app, script) -> None:
+    """Run a script against a server of an application."""
+
+    async def run():
+        scene = Scene(app)
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as group:
+                group.start_soon(scene.server.serve, "127.0.0.1", scene.port)
+                await script(scene)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def receive_until(stream, end: bytes) -> bytes:
+    """Receive bytes up to an end."""
+    data = b""
+    while not data.endswith(end):
+        data += await stream.receive()
+    return data
+
+
+async def receive_all(stream) -> bytes:
+    """Receive bytes until the connection ends."""
+    data = b""
+    try:
+        while True:
+            data += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return data
+
+
+async def answer(send, body: bytes = b"whole", status: int = 200) -> None:
+    """Send a whole answer."""
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def simple_app(scope, receive, send) -> None:
+    """Read the body and answer."""
+    while (await receive()).get("more_body"):
+        pass
+    await answer(send)
+
+
+REQUEST = b"GET /lots HTTP/1.1\r\nhost: shop\r\n\r\n"
+
+
+class TestConnections:
+    def test_connection_serves_many_requests(self):
+        async def script(scene):
+            async with await scene.open() as stream:
+                for _ in range(3):
+                    await stream.send(REQUEST)
+                    data = await receive_until(stream, b"whole")
+                    assert b"connection: close" not in data.lower()
+
+        play(simple_app, script)
+
+    def test_stop_ends_kept_connections_with_an_answer(self):
+        """Guard: `self._server.is_closing()` in Connection._response."""
+
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(REQUEST)
+                await receive_until(stream, b"whole")
+                scene.closing = True
+                await stream.send(REQUEST)
+                data = await receive_all(stream)
+                assert data.startswith(b"HTTP/1.1 200")
+                assert b"connection: close" in data.lower()
+
+        play(simple_app, script)
+
+    def test_answer_before_a_long_body_is_read_arrives_whole(self):
+        """Guard: the linger in Connection._close, else a reset eats it."""
+
+        async def early_app(scope, receive, send):
+            await answer(send, status=413)
+
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(
+                    b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
+                    b"content-length: 3000000\r\n\r\n"
+                )
+
+                async def upload():
+                    try:
+                        for _ in range(30):
+                            await stream.send(bytes(100_000))
+                    except anyio.BrokenResourceError:
+                        return
+
+                async with anyio.create_task_group() as group:
+                    group.start_soon(upload)
+                    data = await receive_until(stream, b"whole")
+                    group.cancel_scope.cancel()
+                assert data.startswith(b"HTTP/1.1 413")
+
+        play(early_app, script)
+
+
+class TestCallers:
+    def test_caller_that_leaves_is_noticed_during_the_call(self):
+        """Guard: the callback in Connection._read."""
+        noticed = anyio.Event()
+
+        async def slow_app(scope, receive, send):
+            scope["extensions"]["monsoonpass"].on_gone(noticed.set)
+            await anyio.sleep(10)
+
+        async def script(scene):
+            stream = await scene.open()
+            await stream.send(REQUEST)
+            await anyio.sleep(0.05)
+            await stream.aclose()
+            await noticed.wait()
+
+        play(slow_app, script)
+
+    def test_answer_that_breaks_off_does_not_look_complete(self):
+        async def broken_app(scope, receive, send):
+            headers = [(b"content-type", b"text/plain")]
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": headers,
+                }
+            )
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": b"part",
+                    "more_body": True,
+                }
+            )
+            raise ValueError("the rest is lost")
+
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(REQUEST)
+                data = await receive_all(stream)
+                assert b"chunked" in data.lower()
+                assert not data.endswith(b"0\r\n\r\n")
+
+        play(broken_app, script)
+
+
+class TestBadInput:
+    def test_head_that_is_too_long_is_refused(self):
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(
+                    b"GET / HTTP/1.1\r\nhost: shop\r\nx: " + b"x" * 4000
+                )
+                assert (await receive_all(stream)).startswith(b"HTTP/1.1 431")
+
+        play(simple_app, script)
+
+    def test_head_that_does_not_end_is_refused(self):
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(b"GET / HTTP/1.1\r\n")
+                assert (await receive_all(stream)).startswith(b"HTTP/1.1 408")
+
+        play(simple_app, script)
+
+    def test_two_lengths_smuggle_nothing(self):
+        seen = []
+
+        async def app(scope, receive, send):
+            seen.append(scope["path"])
+            await simple_app(scope, receive, send)
+
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(
+                    b"POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 5\r\n"
+                    b"content-length: 50\r\n\r\nabcdeGET /b HTTP/1.1\r\n"
+                    b"host: shop\r\n\r\n"
+                )
+                assert (await receive_all(stream)).startswith(b"HTTP/1.1 400")
+            assert seen == []
+
+        play(app, script)
--- /dev/null
+++ b/tests/test_newest.py
@@ -0,0 +1,93 @@
+"""Tests of conditional submits and of reads of the newest configuration."""
+
+from monsoonpass.core import config_messages
+from monsoonpass.core import events
+from monsoonpass.core import newest
+from tests import fake_mesh
+
+Status = config_messages.SubmitStatus
+
+
+def submit(mesh, name: str, number: int, base: int, *services: str):
+    """Submit a configuration on a base and return what became of it."""
+    catalog = fake_mesh.make_catalog(number, *services)
+    request_id = mesh.submit(name, catalog, base)
+    mesh.run(3)
+    return mesh.result(name, request_id).status
+
+
+def read(mesh, name: str):
+    """Read the newest configuration at a node; None without an answer."""
+    request_id = 10_000 + next(mesh.numbers)
+    mesh.nodes[name].feed(events.NewestRequested, request_id=request_id)
+    mesh.run(newest.GIVE_UP_S + 1.0)
+    return mesh.result(name, request_id)
+
+
+def make_group():
+    mesh = fake_mesh.make_group(3)
+    mesh.run(3)
+    return mesh
+
+
+class TestBase:
+    def test_versions_may_grow_in_uneven_steps(self):
+        mesh = make_group()
+        assert submit(mesh, "n0", 3, 0, "a") is Status.ACCEPTED
+        assert submit(mesh, "n1", 17, 3, "a", "b") is Status.ACCEPTED
+
+    def test_only_one_of_two_changes_on_one_base_is_accepted(self):
+        """Guard: the check of `job.base_version` in submission."""
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        assert submit(mesh, "n1", 5, 3, "a", "b") is Status.ACCEPTED
+        assert submit(mesh, "n2", 7, 3, "a", "c") is Status.OTHER_BASE
+
+    def test_same_change_sent_again_elsewhere_is_accepted_again(self):
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        assert submit(mesh, "n2", 3, 0, "a") is Status.ACCEPTED
+        submit(mesh, "n1", 5, 3, "a", "b")
+        assert submit(mesh, "n0", 3, 0, "a") is Status.SUPERSEDED
+
+    def test_refused_change_never_comes_into_force(self):
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        assert submit(mesh, "n1", 9, 0, "z") is Status.OTHER_BASE
+        mesh.run(5)
+        assert "z" not in read(mesh, "n2").services
+
+
+class TestNewest:
+    def test_every_voter_reads_the_accepted_version(self):
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        for name in mesh.nodes:
+            assert read(mesh, name).version == 3
+
+    def test_voter_that_is_cut_off_refuses_instead_of_being_wrong(self):
+        """Guard: the wait for `pending.version` in newest.advance."""
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        old_leader = mesh.leader().name
+        others = [name for name in mesh.nodes if name != old_leader]
+        mesh.split({old_leader})
+        mesh.run(3)
+        assert submit(mesh, others[0], 5, 3, "b") is Status.ACCEPTED
+        assert isinstance(read(mesh, old_leader), newest.Unavailable)
+        assert read(mesh, others[1]).version == 5
+
+    def test_answer_to_an_earlier_question_does_not_count(self):
+        mesh = make_group()
+        submit(mesh, "n0", 3, 0, "a")
+        node = mesh.nodes["n0"]
+        mesh.split({"n0"})
+        node.feed(events.NewestRequested, request_id=77)
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("n1"),
+            message=config_messages.ColdReadReply(
+                confirmed=True, version=3, leader=None, voters=(), number=76
+            ),
+        )
+        assert mesh.result("n0", 77) is None
--- /dev/null
+++ b/tests/test_operator_document.py
@@ -0,0 +1,96 @@
+"""Tests of the operator document: checked whole, given back whole."""
+
+import json
+
+import pytest
+
+from monsoonpass import errors
+from monsoonpass.border import operator_document
+
+
+def make_document(**changes):
+    """Return a valid document with one plain and one shared route."""
+    shared = {
+        "name": "canary",
+        "host": "shop.example",
+        "path": "/pay/",
+        "kind": "once",
+        "deadline_s": 0.8,
+        "objective_s": 0.4,
+        "priority": 0,
+        "attempts_max": 2,
+        "parts": [
+            {"service": "shop", "weight": 90},
+            {"service": "pay", "weight": 10},
+        ],
+    }
+    plain = {
+        **shared,
+        "name": "lots",
+        "path": "/lots/",
+        "kind": "idempotent",
+        "service": "shop",
+        "note": "kept as it is",
+    }
+    del plain["parts"]
+    document = {
+        "version": 7,
+        "routes": [plain, shared],
+        "services": [
+            {"name": "shop", "health_path": "/h", "connections_max": 12},
+            {
+                "name": "pay",
+                "health_path": "/h",
+                "connections_max": 12,
+                "tls": False,
+            },
+        ],
+        "limits": {
+            "header_max_bytes": 16384,
+            "body_max_bytes": 1048576,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+    }
+    return {**document, **changes}
+
+
+def compile_(document):
+    return operator_document.compile_document(json.dumps(document).encode())
+
+
+class TestDocument:
+    def test_it_is_given_back_as_it_was_written(self):
+        document = make_document()
+        catalog = compile_(document)
+        assert json.loads(operator_document.render(catalog)) == document
+
+    @pytest.mark.parametrize(
+        "break_it",
+        [
+            lambda d: d["routes"][0].update(service="nowhere"),
+            lambda d: d["routes"][0].update(path="/pay/"),
+            lambda d: d["routes"][0].update(attempts_max=0),
+            lambda d: d["routes"][0].update(host=""),
+            lambda d: d["routes"][0].update(kind="sometimes"),
+            lambda d: d["routes"][0].pop("deadline_s"),
+            lambda d: d["routes"][0].pop("service"),
+            lambda d: d["routes"][1]["parts"][0].pop("weight"),
+            lambda d: d["routes"][1].update(service="shop"),
+            lambda d: d["services"].append(d["services"][0]),
+            lambda d: d.pop("limits"),
+            lambda d: d.update(version="8"),
+            lambda d: d.update(version=0),
+        ],
+    )
+    def test_faults_are_refused(self, break_it):
+        document = make_document()
+        break_it(document)
+        with pytest.raises(errors.TextError):
+            compile_(document)
+
+    def test_document_that_is_cut_short_is_refused(self):
+        data = json.dumps(make_document()).encode()
+        for size in range(0, len(data), 97):
+            with pytest.raises(errors.TextError):
+                operator_document.compile_document(data[:size])
--- /dev/null
+++ b/tests/test_own_upstream.py
@@ -0,0 +1,130 @@
+"""Tests of announcements: which process the own upstream is."""
+
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import member as member_lib
+from monsoonpass.core import own_upstream
+from monsoonpass.core import reducer
+from tests import fake_mesh
+
+UpstreamState = member_lib.UpstreamState
+
+
+class Scene:
+    """One node without a disk, fed by hand."""
+
+    def __init__(self, **settings):
+        self.mesh = fake_mesh.FakeMesh(seed=1)
+        self.node = self.mesh.add(
+            "n", disk=False, seeds=(), voters=(), **settings
+        )
+        self.node.start()
+        self.state = self.node.state
+
+    def announce(self, name="i-1", *, born=1, sequence=1, **changes) -> bool:
+        """Announce an upstream; return whether it was taken."""
+        fields = {
+            "service": "shop",
+            "slots": 4,
+            "cold": False,
+            "port": 9000,
+            "upstream_id": name,
+            "born_ms": born,
+            "sequence": sequence,
+            "request_id": 1,
+        }
+        self.node.feed(events.UpstreamAnnounced, **{**fields, **changes})
+        result = self.node.replies.pop(1)
+        assert isinstance(result, own_upstream.Announced)
+        return result.taken
+
+    def used(self) -> list[str]:
+        """Return the names of the upstreams used, in order."""
+        return [
+            effect.upstream_id
+            for effect in self.node.performed
+            if isinstance(effect, effects.UseUpstream)
+        ]
+
+
+class TestIdentity:
+    def test_late_announcement_of_an_earlier_start_changes_nothing(self):
+        """Guard: `event.born_ms > known.born_ms` in own_upstream."""
+        scene = Scene()
+        assert scene.announce("i-1", born=10, sequence=5)
+        assert scene.announce("i-2", born=20, sequence=1, port=9001)
+        assert not scene.announce("i-1", born=10, sequence=6)
+        assert scene.state.upstream.upstream_id == "i-2"
+        assert scene.used() == ["i-1", "i-2"]
+
+    def test_start_under_an_old_name_counts_anew(self):
+        scene = Scene()
+        assert scene.announce("i-1", born=10, sequence=50)
+        assert scene.announce("i-1", born=20, sequence=1)
+        assert not scene.announce("i-1", born=10, sequence=51)
+
+    def test_late_announcement_of_one_start_is_known_by_its_sequence(self):
+        scene = Scene()
+        assert scene.announce(sequence=4)
+        assert not scene.announce(sequence=3, slots=9)
+        assert scene.state.admission.slots == 4
+
+
+class TestLeaving:
+    def test_draining_upstream_gets_no_new_work(self):
+        scene = Scene()
+        scene.announce(sequence=1)
+        assert scene.announce(sequence=2, draining=True)
+        assert scene.state.admission.upstream is UpstreamState.DRAINING
+        assert scene.state.membership.own.upstream is UpstreamState.DRAINING
+
+    def test_leaving_binds_though_a_late_heartbeat_says_ready(self):
+        """Guard: `known.left.append` in own_upstream."""
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.node.feed(events.UpstreamDraining, upstream_id="i-1", born_ms=1)
+        assert not scene.announce(sequence=2)
+        assert scene.state.admission.upstream is UpstreamState.DRAINING
+
+    def test_leaving_of_an_earlier_start_leaves_the_new_one_alone(self):
+        scene = Scene()
+        scene.announce("i-1", born=10)
+        scene.announce("i-1", born=20)
+        scene.node.feed(events.UpstreamDraining, upstream_id="i-1", born_ms=10)
+        assert scene.state.admission.accepts
+
+    def test_stop_still_takes_the_notice_of_leaving(self):
+        scene = Scene(stop_after_s=2.0)
+        scene.announce(sequence=1)
+        scene.node.feed(events.StopRequested)
+        assert not scene.announce(sequence=2)
+        assert scene.announce(sequence=3, draining=True)
+
+
+class TestSilence:
+    def test_silent_upstream_is_withdrawn_until_it_is_heard(self):
+        """Guard: the timer set in own_upstream._take."""
+        scene = Scene(silence_s=5.0)
+        scene.announce(sequence=1)
+        scene.mesh.run(4.0)
+        assert scene.state.admission.accepts
+        scene.mesh.run(2.0)
+        assert scene.state.admission.upstream is UpstreamState.NONE
+        assert scene.announce(sequence=2)
+        assert scene.state.admission.accepts
+
+    def test_replaced_upstream_is_withdrawn_at_once(self):
+        scene = Scene()
+        scene.announce(sequence=1)
+        event = events.WorkFinished(
+            now_s=scene.mesh.now_s,
+            entropy=1,
+            work_id=1,
+            service_time_s=0.1,
+            failure=own_upstream.outcome.Failure(
+                outcome=own_upstream.outcome.Outcome.NOT_RUN,
+                reason=own_upstream.Reason.UPSTREAM_REPLACED,
+            ),
+        )
+        reducer.step(event, scene.state)
+        assert scene.state.admission.upstream is UpstreamState.NONE
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,121 @@
+"""Tests of connections to the own upstream that misbehaves."""
+
+import anyio
+import pytest
+
+from monsoonpass import errors
+from monsoonpass.runtime import upstream
+from monsoonpass.standin import local_mesh
+
+ID = (b"call", b"7")
+HEADERS = ((b"host", b"shop"), ID)
+
+
+def whole(call: str, body: str) -> bytes:
+    """Return an answer to a call."""
+    return (
+        f"HTTP/1.1 200 OK\r\ncall: {call}\r\ncontent-length: {len(body)}"
+        f"\r\n\r\n{body}"
+    ).encode()
+
+
+def play(sent: list[bytes], script) -> None:
+    """Let an upstream answer each request with certain bytes."""
+
+    async def serve(stream):
+        async with stream:
+            for data in sent:
+                request = b""
+                while not request.endswith(b"\r\n\r\n"):
+                    request += await stream.receive()
+                await stream.send(data)
+            await anyio.sleep(5)
+
+    async def run():
+        port = local_mesh.free_ports(1)[0]
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=port
+        )
+        pool = upstream.Pool(host="127.0.0.1", limit=4)
+        pool.port = port
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, serve)
+                await script(pool)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def exchange(pool, call_id=ID):
+    """Make a call; return its connection and the answer's body."""
+    connection = await pool.acquire(0.0)
+    await connection.send_head("GET", b"/", HEADERS, ended=True)
+    await connection.receive_head(call_id)
+    parts = [part async for part in connection.receive_body()]
+    return connection, b"".join(parts)
+
+
+class TestStrayBytes:
+    def test_answer_to_another_call_is_skipped(self):
+        """Guard: the comparison with `call_id` in receive_head."""
+
+        async def script(pool):
+            connection, body = await exchange(pool)
+            assert body == b"mine"
+            await pool.release(connection, 0.0, reuse=True)
+            assert not connection.is_reusable
+
+        play([whole("6", "another's") + whole("7", "mine")], script)
+
+    def test_answer_to_another_call_alone_is_a_failure(self):
+        async def script(pool):
+            with pytest.raises(errors.UpstreamBrokenError):
+                await exchange(pool)
+
+        play([whole("6", "another's") + b"no answer\r\n\r\n"], script)
+
+    def test_second_answer_taints_the_connection(self):
+        """Guard: the check of trailing data in Connection.finish."""
+
+        async def script(pool):
+            connection, body = await exchange(pool)
+            assert body == b"mine"
+            await pool.release(connection, 0.0, reuse=True)
+            assert not connection.is_reusable
+
+        play([whole("7", "mine") + whole("7", "mine")], script)
+
+    def test_sound_connection_is_used_again(self):
+        async def script(pool):
+            first, _ = await exchange(pool)
+            await pool.release(first, 0.0, reuse=True)
+            second, body = await exchange(pool)
+            assert second is first
+            assert body == b"again"
+
+        play([whole("7", "once"), whole("7", "again")], script)
+
+
+class TestIdle:
+    def test_call_that_must_not_repeat_gets_a_fresh_connection(self):
+        """Guard: the `idempotent` limit in Pool.acquire."""
+
+        async def script(pool):
+            first, _ = await exchange(pool)
+            await pool.release(first, 0.0, reuse=True)
+            later_s = upstream.ONCE_IDLE_MAX_S + 0.1
+            fresh = await pool.acquire(later_s, idempotent=False)
+            assert fresh is not first
+
+        play([whole("7", "once")], script)
+
+    def test_told_idle_time_is_kept(self):
+        async def script(pool):
+            first, _ = await exchange(pool)
+            assert first.idle_max_s == 2 * upstream.IDLE_SHARE
+
+        data = whole("7", "once").replace(
+            b"call:", b"keep-alive: timeout=2\r\ncall:"
+        )
+        play([data], script)
