Bear full disks, gaps after a loss of power, and full log pipes

Change: a refused write is taken back and tried again, the replica stands aside meanwhile; one write for each sync, groups numbered, an unwritten part of the last group is cut; what a killed process left is synced at the next start; log lines are bounded, dropped ones counted, and the standard output never blocks.

--- a/src/monsoonpass/border/journal.py
+++ b/src/monsoonpass/border/journal.py
@@ -1,13 +1,17 @@
 """The journal: durable records in one file, replaced whole when it grows.
 
-Each record is a header (length, checksum of the length, checksum of the
-content) and its content. A record that the end of the file cuts off was never
-confirmed, so it is dropped. A whole header or record with a wrong checksum is
-damage, never cut silently.
+Each record is a header (length, number of its group, checksums of both and of
+the content) and its content. A group is what one sync confirms; the next one
+is written only after that. A loss of power may leave any part of the last
+group unwritten, as the end of the file or as zeros within it, and nothing of
+it was confirmed, so it is cut. Any other wrong checksum is damage, never cut
+silently.
 """
 
 from collections.abc import Iterable
+import contextlib
 import errno
+import io
 import os
 import pathlib
 import struct
@@ -19,8 +23,10 @@
 from monsoonpass.core import consensus_records as records
 
 RECORD_MAX_BYTES = 32 * 1024 * 1024
-_LENGTH = struct.Struct(">I")
-_HEADER = struct.Struct(">III")
+UNWRITTEN = bytes(16)  # Zeros in a row that no record holds by itself.
+_LENGTH = struct.Struct(">II")
+_SUMS = struct.Struct(">II")
+_HEADER = struct.Struct(">IIII")
 _PREFIX = "journal-"
 _SUFFIX = ".log"
 
@@ -49,16 +55,20 @@
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._number = _newest_number(folder)
-            self._file = open(self._path(self._number), "ab")  # noqa: SIM115
+            self._file = _open(self._path(self._number))
             data = self._path(self._number).read_bytes()
         except OSError as error:
             raise _disk_error(error) from error
-        found, valid_bytes = _read_records(data)
+        found, valid_bytes, self._group = _read_records(data)
         self.records = tuple(found)
         _check_owner(self.records, instance)
         self.cut_bytes = len(data) - valid_bytes
+        self._synced_bytes = valid_bytes
+        self._written_bytes = valid_bytes
         if self.cut_bytes:
             os.truncate(self._path(self._number), valid_bytes)
+        # Records of a process that was killed may not be on the disk yet.
+        self.sync()
         _remove_others(folder, self._path(self._number))
         _sync_folder(folder)
 
@@ -72,12 +82,13 @@
             DiskFullError: The disk has no room.
             DiskError: The write failed.
         """
-        data = b"".join(_pack(record) for record in new)
+        group = self._group + 1
+        data = b"".join(_pack(record, group) for record in new)
         try:
-            self._file.write(data)
-            self._file.flush()
+            _write(self._file, data)
         except OSError as error:
             raise _disk_error(error) from error
+        self._written_bytes += len(data)
 
     def sync(self) -> None:
         """Make everything written so far durable.
@@ -89,6 +100,20 @@
             os.fsync(self._file.fileno())
         except OSError as error:
             raise _disk_error(error) from error
+        self._synced_bytes = self._written_bytes
+        self._group += 1
+
+    def undo(self) -> None:
+        """Take back everything since the last sync, after a failed write.
+
+        Raises:
+            DiskError: The disk does not allow that now.
+        """
+        try:
+            self._file.truncate(self._synced_bytes)
+        except OSError as error:
+            raise _disk_error(error) from error
+        self._written_bytes = self._synced_bytes
 
     def replace(self, new: Iterable[Any]) -> None:
         """Replace all records, durably and in one step.
@@ -104,17 +129,24 @@
         temporary = target.with_suffix(".tmp")
         try:
             with open(temporary, "wb") as file:
-                file.write(b"".join(_pack(record) for record in new))
+                data = b"".join(_pack(record, 1) for record in new)
+                file.write(data)
                 file.flush()
                 os.fsync(file.fileno())
             os.rename(temporary, target)
             _sync_folder(self._folder)
-            self._file.close()
-            self._file = open(target, "ab")  # noqa: SIM115
-            self._path(self._number).unlink()
+            newer = _open(target)
         except OSError as error:
             raise _disk_error(error) from error
+        old = self._path(self._number)
+        self._file.close()
+        self._file = newer
         self._number += 1
+        self._group = 1
+        self._synced_bytes = self._written_bytes = len(data)
+        # What stays of the old file is removed at the next start.
+        with contextlib.suppress(OSError):
+            old.unlink()
 
     def close(self) -> None:
         """Close the file."""
@@ -140,39 +172,78 @@
     return target
 
 
-def _pack(record: Any) -> bytes:
+def _open(path: pathlib.Path) -> io.FileIO:
+    return open(path, "ab", buffering=0)
+
+
+def _write(file: io.FileIO, data: bytes) -> None:
+    """Write all bytes; a disk that is nearly full takes only some."""
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
+
+
+def _pack(record: Any, group: int) -> bytes:
     payload = codec.encode(record)
     if len(payload) > RECORD_MAX_BYTES:
         raise errors.DiskError(f"a record of {len(payload)} bytes is too long")
-    length_checksum = zlib.crc32(_LENGTH.pack(len(payload)))
-    header = _HEADER.pack(len(payload), length_checksum, zlib.crc32(payload))
-    return header + payload
+    start = _LENGTH.pack(len(payload), group)
+    return start + _SUMS.pack(zlib.crc32(start), zlib.crc32(payload)) + payload
 
 
-def _read_records(data: bytes) -> tuple[list[Any], int]:
-    """Return the records and the length of the valid part."""
+def _read_records(data: bytes) -> tuple[list[Any], int, int]:
+    """Return the records, the length of the valid part and its last group."""
     found = []
     position = 0
+    group = 0
     while position < len(data):
         start = position + _HEADER.size
-        if start > len(data) or not any(data[position:]):
+        header = _read_header(data, position)
+        if header is None:
+            _check_unwritten(data, position, data[position:start], group)
             break
-        size_bytes, length_checksum, checksum = _HEADER.unpack_from(
-            data, position
-        )
-        if zlib.crc32(_LENGTH.pack(size_bytes)) != length_checksum:
-            raise _damaged(position)
+        size_bytes, group, checksum = header
         payload = data[start : start + size_bytes]
         if len(payload) < size_bytes:
             break
         if zlib.crc32(payload) != checksum:
-            raise _damaged(position)
+            _check_unwritten(data, position, payload, group)
+            break
         try:
             found.append(codec.decode(payload))
         except errors.ProtocolError as error:
             raise _damaged(position) from error
         position = start + size_bytes
-    return found, position
+    return found, position, group
+
+
+def _read_header(data: bytes, position: int) -> tuple[int, int, int] | None:
+    """Return length, group and checksum of a record, or None if not valid."""
+    start = data[position : position + _HEADER.size]
+    if len(start) < _HEADER.size:
+        return None
+    size_bytes, group, start_sum, checksum = _HEADER.unpack(start)
+    if zlib.crc32(start[: _LENGTH.size]) != start_sum or not group:
+        return None
+    return size_bytes, group, checksum
+
+
+def _check_unwritten(
+    data: bytes, position: int, bad: bytes, group: int
+) -> None:
+    """Check that bad bytes are the unwritten part of the last group.
+
+    Raises:
+        JournalDamagedError: They are something else.
+    """
+    is_cut_off = len(bad) < _HEADER.size and position + len(bad) == len(data)
+    is_zero = bad.endswith(b"\0") or UNWRITTEN in bad
+    if not is_cut_off and not is_zero:
+        raise _damaged(position)
+    for later in range(position + 1, len(data) - _HEADER.size):
+        header = _read_header(data, later)
+        if header is not None and header[1] > group + 1:
+            raise _damaged(position)
 
 
 def _damaged(position: int) -> errors.JournalDamagedError:
--- a/src/monsoonpass/cli/daemon.py
+++ b/src/monsoonpass/cli/daemon.py
@@ -70,6 +70,8 @@
     Returns:
         The exit code.
     """
+    # Until the loop takes the signal, it must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = _load(path)
     if settings is None:
         return EXIT_SETTINGS
--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/control.py
@@ -151,6 +151,17 @@
     return result + drain_notices(state, event)
 
 
+@step.step.register
+def _(event: events.DiskRecovered, state: node.Node) -> list[effects.Effect]:
+    """Take part in the group again, as after a restart."""
+    state.disk_failed = False
+    replica = state.control.replica
+    if replica is not None:
+        replica.failed = False
+        replica.leader_heard_s = event.now_s
+    return [effects.Log(code=logbook.Code.DISK_RECOVERED)]
+
+
 @step.expire.register
 def _(
     timer: events.Election, event: events.TimerFired, state: node.Node
--- a/src/monsoonpass/core/election.py
+++ b/src/monsoonpass/core/election.py
@@ -42,8 +42,10 @@
     replica: replica_lib.Replica, *, now_s: float, entropy: int
 ) -> list[effects.Effect]:
     """Start an election unless the leader was heard from."""
-    if replica.failed or replica.is_leader:
+    if replica.is_leader:
         return []
+    if replica.failed:
+        return [group.election_timer(entropy)]
     quiet_s = now_s - replica.leader_heard_s
     if not replica.is_voter or quiet_s < replica_lib.ELECTION_MIN_S:
         return [group.election_timer(entropy, min(quiet_s, 0.5))]
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -194,11 +194,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DiskFailed(Event):
-    """A write failed; nothing after it will be durable."""
+    """A write failed; nothing after it will be durable until it succeeds."""
 
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DiskRecovered(Event):
+    """A write that had failed has succeeded."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitRequested(Event):
     """An operator submitted a valid configuration.
--- a/src/monsoonpass/core/logbook.py
+++ b/src/monsoonpass/core/logbook.py
@@ -15,7 +15,9 @@
         "error",
         "Changed settings are wrong; those in force stay.",
     )
+    LINES_DROPPED = (105, "warning", "Log lines were dropped, by the bound.")
     DISK_FAILED = (110, "error", "A write to the journal failed.")
+    DISK_RECOVERED = (113, "info", "The write that had failed succeeded.")
     JOURNAL_RECOVERED = (111, "info", "The journal was read at start.")
     JOURNAL_DAMAGED = (
         112,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -67,6 +67,47 @@
         with pytest.raises(errors.JournalDamagedError):
             open_journal(tmp_path)
 
+    def test_gap_in_the_last_group_is_cut(self, tmp_path):
+        """A loss of power may leave out any part of what was not synced."""
+        path = write_three(tmp_path)
+        whole = path.read_bytes()
+        length = len(whole) // 3
+        for start in range(length, 2 * length):
+            for end in (2 * length, 3 * length - 5):
+                gap = bytes(end - start)
+                path.write_bytes(whole[:start] + gap + whole[end:])
+                journal = open_journal(tmp_path)
+                assert journal.records[0] == entry(1)
+                assert len(journal.records) < 3
+                journal.close()
+
+    def test_gap_before_a_synced_group_is_damage(self, tmp_path):
+        """Guard: the search for later groups in _check_unwritten."""
+        path = write_three(tmp_path)
+        length = path.stat().st_size // 3
+        journal = open_journal(tmp_path)
+        for index in (4, 5):
+            journal.append([entry(index)])
+            journal.sync()
+        journal.close()
+        data = bytearray(path.read_bytes())
+        data[2 * length : 3 * length] = bytes(length)
+        path.write_bytes(bytes(data))
+        with pytest.raises(errors.JournalDamagedError):
+            open_journal(tmp_path)
+
+    def test_failed_write_is_taken_back_and_written_again(self, tmp_path):
+        """Guard: the truncation in Journal.undo."""
+        write_three(tmp_path)
+        journal = open_journal(tmp_path)
+        journal.append([entry(4)])
+        journal.undo()
+        journal.append([entry(4)])
+        journal.sync()
+        journal.close()
+        found = open_journal(tmp_path).records
+        assert [record.index for record in found] == [1, 2, 3, 4]
+
     def test_swapped_folder_is_refused(self, tmp_path):
         journal = open_journal(tmp_path)
         journal.append([records.Identity(instance="n1", replica_id=1, group=0)])
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,10 +1,13 @@
 """Tests of what operators use: endpoint, tool, settings, traces, metrics."""
 
 import json
+import os
 import sys
 
 import anyio
 
+from monsoonpass.core import logbook
+from monsoonpass.runtime import logs
 from monsoonpass.standin import local_mesh
 from tests import test_end_to_end
 
@@ -219,3 +222,37 @@
                 assert name in response.text, name
 
         run_scene(tmp_path, play)
+
+
+class TestLog:
+    def test_storm_of_lines_is_bounded_and_told(self, monkeypatch):
+        """Guard: `_take_token` in Logger.write."""
+        now_s = 0.0
+        lines = []
+        monkeypatch.setattr(logs.time, "monotonic", lambda: now_s)
+        monkeypatch.setattr(
+            logs.eliot, "log_message", lambda **line: lines.append(line)
+        )
+        logger = logs.Logger(instance="n")
+        for _ in range(10_000):
+            logger.write(logbook.Code.CALL_FAILED)
+        assert len(lines) == logs.LINES_AT_ONCE
+        now_s = 1.0
+        logger.write(logbook.Code.CALL_FAILED)
+        assert lines[-2]["event"] == "lines_dropped"
+        assert lines[-2]["count"] == 10_000 - logs.LINES_AT_ONCE
+
+    def test_full_pipe_loses_lines_and_blocks_nothing(self, monkeypatch):
+        """Guard: `os.set_blocking` in StandardOutput."""
+        reader, writer = os.pipe()
+        with open(writer, "wb", buffering=0) as file:
+            monkeypatch.setattr(logs.sys, "stdout", file)
+            destination = logs.StandardOutput()
+            for number in range(20_000):
+                destination({"number": number})
+        data = b""
+        while chunk := os.read(reader, 65536):
+            data += chunk
+        os.close(reader)
+        numbers = [json.loads(x)["number"] for x in data.splitlines()[:-1]]
+        assert numbers == list(range(len(numbers)))
