Group the core by subject and take out its import circles

Cause: 40 modules in one folder hid the design; attempts and directory, and cold_start, distribution and submission imported each other in circles.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -14,7 +14,7 @@
 from tests import fake_mesh
 
 from benchmarks import histogram
-from monsoonpass.core import catalog
+from monsoonpass.core.distribution import catalog
 
 WARM_UP_S = 1.0
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,13 +15,13 @@
 from monsoonpass import codec
 from monsoonpass.border import operator_text
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import distribution
 from monsoonpass.core import events
-from monsoonpass.core import ledger
-from monsoonpass.core import member as member_lib
 from monsoonpass.core import node as node_lib
 from monsoonpass.core import reducer
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.keys import ledger
+from monsoonpass.core.membership import member as member_lib
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.standin import local_mesh
 
--- a/src/monsoonpass/border/journal.py
+++ b/src/monsoonpass/border/journal.py
@@ -20,7 +20,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
-from monsoonpass.core import consensus_records as records
+from monsoonpass.core.agreement import consensus_records as records
 
 RECORD_MAX_BYTES = 32 * 1024 * 1024
 UNWRITTEN = bytes(16)  # Zeros in a row that no record holds by itself.
--- a/src/monsoonpass/border/operator_document.py
+++ b/src/monsoonpass/border/operator_document.py
@@ -11,8 +11,8 @@
 import pydantic
 
 from monsoonpass import errors
-from monsoonpass.core import catalog
-from monsoonpass.core import host_route
+from monsoonpass.core.distribution import catalog
+from monsoonpass.core.distribution import host_route
 
 DOCUMENT_MAX_BYTES = 4 * 1024 * 1024
 TIME_MAX_S = 24 * 3600.0
--- a/src/monsoonpass/border/operator_models.py
+++ b/src/monsoonpass/border/operator_models.py
@@ -5,8 +5,8 @@
 
 import pydantic
 
-from monsoonpass.core import catalog
-from monsoonpass.core import survey
+from monsoonpass.core.distribution import catalog
+from monsoonpass.core.distribution import survey
 
 
 class _Model(pydantic.BaseModel):
--- a/src/monsoonpass/border/operator_text.py
+++ b/src/monsoonpass/border/operator_text.py
@@ -12,7 +12,7 @@
 import yaml
 
 from monsoonpass import errors
-from monsoonpass.core import catalog
+from monsoonpass.core.distribution import catalog
 
 TEXT_MAX_BYTES = 4 * 1024 * 1024
 SERVICES_MAX = 10_000
--- a/src/monsoonpass/cli/tool.py
+++ b/src/monsoonpass/cli/tool.py
@@ -33,7 +33,7 @@
 from monsoonpass.cli import client as client_lib
 from monsoonpass.cli import demo
 from monsoonpass.cli import report
-from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core.distribution import catalog as catalog_lib
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
--- /dev/null
+++ b/src/monsoonpass/core/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: who leads, what is committed, who belongs."""
--- a/src/monsoonpass/core/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -10,26 +10,26 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import cold_start
-from monsoonpass.core import config_messages as messages
-from monsoonpass.core import consensus_records as records
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
-from monsoonpass.core import election
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
-from monsoonpass.core import follower as _follower
-from monsoonpass.core import formation
-from monsoonpass.core import group
-from monsoonpass.core import keyed_calls
 from monsoonpass.core import logbook
-from monsoonpass.core import newest
 from monsoonpass.core import node
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
 from monsoonpass.core import step
-from monsoonpass.core import submission
-from monsoonpass.core import upkeep
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import election
+from monsoonpass.core.agreement import follower as _follower
+from monsoonpass.core.agreement import formation
+from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
+from monsoonpass.core.agreement import upkeep
+from monsoonpass.core.distribution import cold_start
+from monsoonpass.core.distribution import config_messages as messages
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import newest
+from monsoonpass.core.distribution import submission
+from monsoonpass.core.keys import keyed_calls
 
 UPKEEP_S = 0.5
 
--- a/src/monsoonpass/core/control_machine.py
+++ b/src/monsoonpass/core/agreement/control_machine.py
@@ -7,8 +7,8 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import ledger
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.keys import ledger
 
 RECENT_VERSIONS = 1000
 
--- a/src/monsoonpass/core/election.py
+++ b/src/monsoonpass/core/agreement/election.py
@@ -1,11 +1,11 @@
 """The rules of elections: pre-votes, votes and their timer."""
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
-from monsoonpass.core import group
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
 
 
 def start(
--- a/src/monsoonpass/core/follower.py
+++ b/src/monsoonpass/core/agreement/follower.py
@@ -1,10 +1,10 @@
 """The follower's rules: accepting entries and snapshots from the leader."""
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
-from monsoonpass.core import group
-from monsoonpass.core import replica as replica_lib
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import replica as replica_lib
 
 
 @group.receive.register
--- a/src/monsoonpass/core/formation.py
+++ b/src/monsoonpass/core/agreement/formation.py
@@ -8,19 +8,19 @@
 
 import dataclasses
 
-from monsoonpass.core import cold_start
-from monsoonpass.core import config_messages as messages
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
-from monsoonpass.core import election
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
 from monsoonpass.core import node
-from monsoonpass.core import replica as replica_lib
 from monsoonpass.core import step
-from monsoonpass.core import submission
-from monsoonpass.core import upkeep
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import election
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import upkeep
+from monsoonpass.core.agreement import voters
+from monsoonpass.core.distribution import cold_start
+from monsoonpass.core.distribution import config_messages as messages
 
 JOIN_AFTER_S = 5.0
 CANDIDATES_MAX = 64
@@ -152,7 +152,7 @@
 
 def ask_to_join(state: node.Node, event: events.Event) -> list[effects.Effect]:
     """Offer the disk to the leader, as far as known, or to a voter."""
-    asked = submission.whom_to_ask(state, event, event.entropy & 1)
+    asked = voters.whom_to_ask(state, event, event.entropy & 1)
     if asked is None:
         return []
     request = messages.JoinGroup(
--- a/src/monsoonpass/core/group.py
+++ b/src/monsoonpass/core/agreement/group.py
@@ -4,12 +4,12 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import replica as replica_lib
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import replica as replica_lib
 
 
 @functools.singledispatch
--- a/src/monsoonpass/core/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -17,10 +17,10 @@
 from monsoonpass import codec
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
-from monsoonpass.core import disk_queue
 from monsoonpass.core import effects
-from monsoonpass.core import replica_log
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import disk_queue
+from monsoonpass.core.agreement import replica_log
 
 ELECTION_MIN_S = 0.75
 ELECTION_MAX_S = 1.5
--- a/src/monsoonpass/core/replica_log.py
+++ b/src/monsoonpass/core/agreement/replica_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from monsoonpass.core import consensus_records as records
+from monsoonpass.core.agreement import consensus_records as records
 
 
 class ReplicaLog:
--- a/src/monsoonpass/core/replication.py
+++ b/src/monsoonpass/core/agreement/replication.py
@@ -11,12 +11,12 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import group
 from monsoonpass.core import logbook
-from monsoonpass.core import replica as replica_lib
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import replica as replica_lib
 
 HEARTBEAT_S = 0.15
 BATCH_BYTES = 64 * 1024
--- a/src/monsoonpass/core/upkeep.py
+++ b/src/monsoonpass/core/agreement/upkeep.py
@@ -7,12 +7,12 @@
 import dataclasses
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import node
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
 
 CANDIDATE_FRESH_S = 10.0
 LEARNER_FRESH_S = 2.0
--- /dev/null
+++ b/src/monsoonpass/core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls: placed, admitted, tried again and judged."""
--- a/src/monsoonpass/core/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -10,8 +10,8 @@
 import dataclasses
 import math
 
-from monsoonpass.core import member as member_lib
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.membership import member as member_lib
 
 SMOOTHING = 0.1
 LONG_FACTOR = 4.0
--- a/src/monsoonpass/core/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -7,17 +7,17 @@
 
 import dataclasses
 
-from monsoonpass.core import admission
-from monsoonpass.core import call as call_lib
-from monsoonpass.core import directory
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import keyed_calls
 from monsoonpass.core import node
-from monsoonpass.core import outcome
-from monsoonpass.core import routing
-from monsoonpass.core import routing_table
 from monsoonpass.core import step
+from monsoonpass.core.calls import admission
+from monsoonpass.core.calls import call as call_lib
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import routing
+from monsoonpass.core.calls import routing_table
+from monsoonpass.core.keys import keyed_calls
+from monsoonpass.core.membership import directory
 
 TRIES_MAX = 6  # Nodes asked for a call; most of them refuse it unrun.
 RETRY_AFTER_S = 1.0
@@ -98,6 +98,18 @@
     return result + _watch_queue(state, event)
 
 
+@step.receive.register
+def _(
+    message: directory.EndpointReply,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    result, is_enough = directory.learned(state, event, message)
+    if is_enough:
+        result += unparked(state, event, message.service)
+    return result
+
+
 def unparked(
     state: node.Node, event: events.Event, service: str
 ) -> list[effects.Effect]:
--- a/src/monsoonpass/core/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from monsoonpass.core import catalog
-from monsoonpass.core import host_route
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.distribution import catalog
+from monsoonpass.core.distribution import host_route
 
 NOT_RUN = outcome.Outcome.NOT_RUN
 
--- a/src/monsoonpass/core/call_messages.py
+++ b/src/monsoonpass/core/calls/call_messages.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from monsoonpass import codec
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/src/monsoonpass/core/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -6,19 +6,19 @@
 idempotent.
 """
 
-from monsoonpass.core import admission
-from monsoonpass.core import attempts
-from monsoonpass.core import call as call_lib
-from monsoonpass.core import directory
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import keyed_calls
-from monsoonpass.core import ledger
 from monsoonpass.core import node
-from monsoonpass.core import outcome
-from monsoonpass.core import own_upstream
-from monsoonpass.core import shares
 from monsoonpass.core import step
+from monsoonpass.core.calls import admission
+from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import call as call_lib
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import shares
+from monsoonpass.core.keys import keyed_calls
+from monsoonpass.core.keys import ledger
+from monsoonpass.core.membership import directory
+from monsoonpass.core.membership import own_upstream
 
 Reason = outcome.Reason
 
--- a/src/monsoonpass/core/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -5,9 +5,9 @@
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
-from monsoonpass.core import member as member_lib
 from monsoonpass.core import node
-from monsoonpass.core import routing_table
+from monsoonpass.core.calls import routing_table
+from monsoonpass.core.membership import member as member_lib
 
 HOP_S = 0.002  # Time that the hop to another node adds.
 SAME_REGION_S = 0.001  # Round trip within a region before one is measured.
--- a/src/monsoonpass/core/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -3,8 +3,8 @@
 import dataclasses
 import math
 
-from monsoonpass.core import outcome
-from monsoonpass.core import shares as shares_lib
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import shares as shares_lib
 
 SMOOTHING = 0.2
 LOAD_FRESH_S = 1.0
--- a/src/monsoonpass/core/shares.py
+++ b/src/monsoonpass/core/calls/shares.py
@@ -8,9 +8,9 @@
 
 import dataclasses
 
-from monsoonpass.core import catalog
 from monsoonpass.core import entropy as entropy_lib
-from monsoonpass.core import host_route
+from monsoonpass.core.distribution import catalog
+from monsoonpass.core.distribution import host_route
 
 ROUTES_MAX = 4096  # Routes whose turns are remembered.
 
--- /dev/null
+++ b/src/monsoonpass/core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Configurations: submitted, accepted, spread and read."""
--- a/src/monsoonpass/core/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -13,7 +13,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
-from monsoonpass.core import host_route
+from monsoonpass.core.distribution import host_route
 
 DIGEST_BYTES = 16
 ATTEMPTS_MAX = 4  # Upstreams that a call of a service's own route may try.
--- a/src/monsoonpass/core/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -6,16 +6,17 @@
 """
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import config_messages as messages
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import newest
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core import submission
+from monsoonpass.core.agreement import voters as voters_lib
+from monsoonpass.core.distribution import config_messages as messages
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import newest
+from monsoonpass.core.distribution import submission
 
 COLD_RETRY_S = 0.5
 HINT_INTERVAL_S = 0.1
@@ -77,7 +78,9 @@
     replica = state.control.replica
     if replica is not None and replica.is_ready_leader:
         return [effects.Send(to=own, message=messages.ColdRead()), retry]
-    voters = [v for v in known_voters(state) if v.instance != own.instance]
+    voters = [
+        v for v in voters_lib.known_voters(state) if v.instance != own.instance
+    ]
     if not voters:
         return [retry]
     to = draws.choice(voters)
@@ -130,23 +133,8 @@
     message = messages.ColdReadReply(
         confirmed=confirmed,
         version=version if confirmed else 0,
-        leader=submission.leader_of(state),
-        voters=known_voters(state),
+        leader=voters_lib.leader_of(state),
+        voters=voters_lib.known_voters(state),
         number=number,
     )
     return effects.Send(to=asker, message=message)
-
-
-def known_voters(state: node.Node) -> tuple[address_lib.Address, ...]:
-    """Return where the voters are: as last told, else from the settings."""
-    replica = state.control.replica
-    if replica is not None and replica.members.voters:
-        return tuple(m.address for m in replica.members.members if m.voter)
-    if state.control.voters:
-        return state.control.voters
-    names = state.settings.bootstrap_voters
-    return tuple(
-        seed.address
-        for seed in state.settings.seeds
-        if not names or seed.address.instance in names
-    )
--- a/src/monsoonpass/core/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -5,7 +5,7 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import catalog
+from monsoonpass.core.distribution import catalog
 
 
 class SubmitStatus(enum.StrEnum):
--- a/src/monsoonpass/core/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -12,16 +12,15 @@
 from monsoonpass import codec
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import cold_start
-from monsoonpass.core import config_messages as messages
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import member_table
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import config_messages as messages
+from monsoonpass.core.membership import member_table
 
 FAN_OUT = 8
 HISTORY_MAX = 256
@@ -45,8 +44,8 @@
     to: str
 
 
-def start(state: node.Node, event: events.Started) -> list[effects.Effect]:
-    """Recover the version in force and ask the quorum for the newest one."""
+def start(state: node.Node, event: events.Started) -> None:
+    """Recover the version in force."""
     catalog = catalog_lib.EMPTY
     for record in event.journal:
         if isinstance(record, messages.InForceRecord):
@@ -56,7 +55,6 @@
     state.config.catalog = catalog
     state.config.ready = catalog.version > 0
     state.config.in_force_since_s = event.now_s
-    return cold_start.begin(state, event)
 
 
 def checkpoint(state: node.Node) -> list[messages.InForceRecord]:
--- a/src/monsoonpass/core/newest.py
+++ b/src/monsoonpass/core/distribution/newest.py
@@ -8,12 +8,12 @@
 import dataclasses
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import config_messages as messages
 from monsoonpass.core import effects
-from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core.agreement import voters
+from monsoonpass.core.distribution import config_messages as messages
 
 RETRY_S = 0.25  # A round trip between regions and a heartbeat, twice.
 GIVE_UP_S = 1.5  # Longer than a caller of the operator endpoint waits.
@@ -109,7 +109,7 @@
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=RETRY_S)
     ]
-    to = _whom(state, event, pending.tries)
+    to = _whom(state, event, pending.tries - 1)
     if to is not None and pending.version < 0:
         result.append(_question(to, request_id))
     return result
@@ -118,25 +118,11 @@
 def _whom(
     state: node.Node, event: events.Event, tries: int
 ) -> address_lib.Address | None:
-    """Return the leader at first, then any voter."""
+    """Return this node if it leads, else the leader or any voter."""
     replica = state.control.replica
     if replica is not None and replica.is_leader:
         return state.settings.address
-    known = replica.leader_address if replica else state.control.leader
-    if tries == 1 and known is not None:
-        return known
-    own = state.settings.address.instance
-    voters = [
-        member.address
-        for member in (replica.members.members if replica else ())
-        if member.voter
-    ]
-    voters += [*state.control.voters]
-    voters += [seed.address for seed in state.settings.seeds]
-    others = [voter for voter in voters if voter.instance != own]
-    if not others:
-        return None
-    return entropy_lib.Entropy(bits=event.entropy).choice(others)
+    return voters.whom_to_ask(state, event, tries)
 
 
 def _question(to: address_lib.Address, number: int) -> effects.Send:
--- a/src/monsoonpass/core/submission.py
+++ b/src/monsoonpass/core/distribution/submission.py
@@ -5,20 +5,19 @@
 from monsoonpass import codec
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import cold_start
-from monsoonpass.core import config_messages as messages
-from monsoonpass.core import consensus_records as records
-from monsoonpass.core import control_machine
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
-from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
 from monsoonpass.core import node
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
 from monsoonpass.core import step
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import control_machine
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
+from monsoonpass.core.agreement import voters as voters_lib
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import config_messages as messages
+from monsoonpass.core.distribution import distribution
 
 RETRY_S = 0.3
 FORWARD_TIMEOUT_S = 1.5
@@ -156,14 +155,6 @@
     return result
 
 
-def leader_of(state: node.Node) -> address_lib.Address | None:
-    """Return where the leader is, as far as this node knows."""
-    replica = state.control.replica
-    if replica is not None:
-        return replica.leader_address
-    return state.control.leader
-
-
 def leader_confirmed(
     state: node.Node, event: events.PeerMessage
 ) -> list[effects.Effect]:
@@ -183,31 +174,6 @@
     return result
 
 
-def whom_to_ask(
-    state: node.Node, event: events.Event, tries: int
-) -> address_lib.Address | None:
-    """Return a node that may lead, or know who does.
-
-    Args:
-        state: The node.
-        event: The cause, for its random bits.
-        tries: How often this was tried before. The leader last heard of comes
-            first; it may be dead or frozen, so any voter comes after.
-
-    Returns:
-        An address other than this node's, or None.
-    """
-    own = state.settings.address.instance
-    leader = leader_of(state)
-    if tries == 0 and leader is not None and leader.instance != own:
-        return leader
-    voters = cold_start.known_voters(state)
-    others = [voter for voter in voters if voter.instance != own]
-    if not others:
-        return None
-    return entropy_lib.Entropy(bits=event.entropy).choice(others)
-
-
 def _advance(
     state: node.Node, event: events.Event, request_id: int
 ) -> list[effects.Effect]:
@@ -240,7 +206,7 @@
             base_version=pending.base_version,
         )
         return [retry, *_enqueue(state, event, job)]
-    to = whom_to_ask(state, event, pending.tries)
+    to = voters_lib.whom_to_ask(state, event, pending.tries)
     pending.tries += 1
     if to is None:
         return [retry]
@@ -374,5 +340,5 @@
         request_id=request_id,
         status=status,
         version=known,
-        leader=leader_of(state),
+        leader=voters_lib.leader_of(state),
     )
--- a/src/monsoonpass/core/survey.py
+++ b/src/monsoonpass/core/distribution/survey.py
@@ -9,13 +9,12 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import cold_start
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core import submission
+from monsoonpass.core.agreement import voters as voters_lib
 
 LOCAL_TIMEOUT_S = 0.4
 TOTAL_TIMEOUT_S = 1.0
@@ -348,12 +347,12 @@
 
 def _finish_total(state: node.Node, number: int) -> list[effects.Effect]:
     survey: Any = state.surveys.pop(number)
-    leader = submission.leader_of(state)
+    leader = voters_lib.leader_of(state)
     result = Survey(
         version=state.config.version,
         leader=leader.instance if leader else "",
         voters=tuple(
-            voter.instance for voter in cold_start.known_voters(state)
+            voter.instance for voter in voters_lib.known_voters(state)
         ),
         places=tuple(survey.places[name] for name in sorted(survey.places)),
         missing=tuple(sorted(survey.expected - survey.places.keys())),
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -6,7 +6,7 @@
 from monsoonpass.core import address
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from monsoonpass.core import address
-from monsoonpass.core import catalog
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.distribution import catalog
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/src/monsoonpass/core/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys: claimed, settled and asked for."""
--- a/src/monsoonpass/core/keyed_calls.py
+++ b/src/monsoonpass/core/keys/keyed_calls.py
@@ -9,16 +9,16 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import consensus_records as records
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import ledger
 from monsoonpass.core import node
-from monsoonpass.core import outcome
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
 from monsoonpass.core import step
-from monsoonpass.core import submission
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
+from monsoonpass.core.agreement import voters
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.keys import ledger
 
 RETRY_S = 0.3
 CLAIM_LIMIT_S = 2.0
@@ -255,7 +255,7 @@
         reply = ledger.SettleReply(
             call_id=message.call_id,
             done=False,
-            leader=submission.leader_of(state),
+            leader=voters.leader_of(state),
         )
         return [effects.Send(to=event.sender, message=reply)]
     return proposed
@@ -330,7 +330,7 @@
     replica = state.control.replica
     if replica is not None and replica.is_leader:
         return state.settings.address
-    return submission.whom_to_ask(state, event, asks)
+    return voters.whom_to_ask(state, event, asks)
 
 
 def _settle(
@@ -424,6 +424,6 @@
         call_id=token.call_id,
         verdict=verdict,
         record=record,
-        leader=submission.leader_of(state),
+        leader=voters.leader_of(state),
     )
     return effects.Send(to=token.asker, message=reply)
--- /dev/null
+++ b/src/monsoonpass/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes and their upstreams: who is there and who leaves."""
--- a/src/monsoonpass/core/directory.py
+++ b/src/monsoonpass/core/membership/directory.py
@@ -11,16 +11,15 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import attempts
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
-from monsoonpass.core import member as member_lib
-from monsoonpass.core import member_table
 from monsoonpass.core import node
-from monsoonpass.core import routing
 from monsoonpass.core import step
+from monsoonpass.core.calls import routing
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import member_table
 
 RELAYS = 2
 EXCHANGE_S = 2.0
@@ -233,10 +232,19 @@
     return result + want(state, event, message.service)
 
 
-@step.receive.register
-def _(
-    message: EndpointReply, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
+def learned(
+    state: node.Node, event: events.PeerMessage, message: EndpointReply
+) -> tuple[list[effects.Effect], bool]:
+    """Take the endpoints of a service in another data centre.
+
+    Args:
+        state: The node.
+        event: The message's event.
+        message: The endpoints.
+
+    Returns:
+        Effects, and whether calls need not wait for endpoints any longer.
+    """
     directory = state.directory
     places = directory.endpoints.setdefault(message.service, {})
     places[message.data_centre] = Endpoints(
@@ -247,11 +255,10 @@
         for asker in directory.askers.get(message.service, {}).values()
         if asker.instance != event.sender.instance
     ]
-    if len(places) >= len(directory.contacts):
+    is_whole = len(places) >= len(directory.contacts)
+    if is_whole:
         directory.askers.pop(message.service, None)
-    if message.members or len(places) >= len(directory.contacts):
-        result += attempts.unparked(state, event, message.service)
-    return result
+    return result, bool(message.members) or is_whole
 
 
 def _ask_across(
--- a/src/monsoonpass/core/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -11,9 +11,9 @@
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import member as member_lib
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core.membership import member as member_lib
 
 GOSSIP_DELAY_S = 0.05
 GOSSIP_FAN_OUT = 3
--- a/src/monsoonpass/core/member_table.py
+++ b/src/monsoonpass/core/membership/member_table.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 import hashlib
 
-from monsoonpass.core import member as member_lib
+from monsoonpass.core.membership import member as member_lib
 
 BUCKETS = 32
 TOMBSTONE_S = 300.0
--- a/src/monsoonpass/core/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -10,15 +10,15 @@
 import dataclasses
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
-from monsoonpass.core import gossip
 from monsoonpass.core import logbook
-from monsoonpass.core import member as member_lib
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.membership import gossip
+from monsoonpass.core.membership import member as member_lib
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.4
--- a/src/monsoonpass/core/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -7,15 +7,15 @@
 
 import dataclasses
 
-from monsoonpass.core import attempts
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import gossip
 from monsoonpass.core import logbook
-from monsoonpass.core import member as member_lib
 from monsoonpass.core import node
-from monsoonpass.core import outcome
 from monsoonpass.core import step
+from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.membership import gossip
+from monsoonpass.core.membership import member as member_lib
 
 UNREACHABLE_MAX = 3
 RECHECK_S = 1.0
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -5,14 +5,14 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import admission as admission_lib
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import control_machine
-from monsoonpass.core import disk_queue
-from monsoonpass.core import member as member_lib
-from monsoonpass.core import member_table
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import routing_table
+from monsoonpass.core.agreement import control_machine
+from monsoonpass.core.agreement import disk_queue
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.calls import admission as admission_lib
+from monsoonpass.core.calls import routing_table
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import member_table
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -5,22 +5,23 @@
 
 import dataclasses
 
-from monsoonpass.core import attempts
-from monsoonpass.core import calls as _calls
-from monsoonpass.core import control
-from monsoonpass.core import directory
-from monsoonpass.core import distribution
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import gossip
 from monsoonpass.core import logbook
-from monsoonpass.core import member as member_lib
-from monsoonpass.core import membership
 from monsoonpass.core import node
-from monsoonpass.core import own_upstream
-from monsoonpass.core import replication
 from monsoonpass.core import step as step_lib
-from monsoonpass.core import survey as _survey
+from monsoonpass.core.agreement import control
+from monsoonpass.core.agreement import replication
+from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import calls as _calls
+from monsoonpass.core.distribution import cold_start
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import survey as _survey
+from monsoonpass.core.membership import directory
+from monsoonpass.core.membership import gossip
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import membership
+from monsoonpass.core.membership import own_upstream
 
 assert _calls  # Imported for its registrations.
 assert _survey  # Imported for its registrations.
@@ -34,10 +35,11 @@
 def _(event: events.Started, state: node.Node) -> list[effects.Effect]:
     state.wall_offset_ms = event.wall_ms - int(event.now_s * 1000)
     state.admission.queue_limit = state.settings.queue_limit
+    distribution.start(state, event)
     return [
         *membership.start(state, event),
         *directory.start(state, event),
-        *distribution.start(state, event),
+        *cold_start.begin(state, event),
         *control.start(state, event),
         effects.Log(
             code=logbook.Code.NODE_STARTED,
--- a/src/monsoonpass/runtime/exchange.py
+++ b/src/monsoonpass/runtime/exchange.py
@@ -8,8 +8,8 @@
 
 import anyio
 
-from monsoonpass.core import call_messages as messages
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import call_messages as messages
+from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import tracing
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
--- a/src/monsoonpass/runtime/front.py
+++ b/src/monsoonpass/runtime/front.py
@@ -14,7 +14,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import caller_http
 from monsoonpass.runtime import engine as engine_lib
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -16,7 +16,7 @@
 import anyio.abc
 import h11
 
-from monsoonpass.core import host_route
+from monsoonpass.core.distribution import host_route
 
 RECEIVE_BYTES = 64 * 1024
 UNREAD_MAX_BYTES = 256 * 1024
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -13,10 +13,10 @@
 from monsoonpass.border import hello
 from monsoonpass.border import settings as settings_lib
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import call_messages
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core.calls import call_messages
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import logs
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -15,13 +15,13 @@
 from monsoonpass.border import operator_models as models
 from monsoonpass.border import operator_text
 from monsoonpass.border import settings as settings_lib
-from monsoonpass.core import config_messages
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import newest
-from monsoonpass.core import submission
-from monsoonpass.core import survey
+from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.distribution import newest
+from monsoonpass.core.distribution import submission
+from monsoonpass.core.distribution import survey
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import logs
 from monsoonpass.runtime import metrics as metrics_lib
--- a/src/monsoonpass/runtime/outcomes.py
+++ b/src/monsoonpass/runtime/outcomes.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from monsoonpass.core import call_messages as messages
+from monsoonpass.core.calls import call_messages as messages
 
 COUNT_MAX = 4096
 SIZE_MAX_BYTES = 8 * 1024 * 1024
--- a/src/monsoonpass/runtime/owner.py
+++ b/src/monsoonpass/runtime/owner.py
@@ -8,10 +8,10 @@
 
 from monsoonpass import errors
 from monsoonpass.border import header_names
-from monsoonpass.core import answers
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import answers
+from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import tracing
--- a/src/monsoonpass/runtime/peer_calls.py
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from monsoonpass import errors
-from monsoonpass.core import call_messages as messages
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import call_messages as messages
+from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import link as link_lib
--- a/src/monsoonpass/runtime/remote_attempts.py
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import call_messages as messages
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import call_messages as messages
+from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import exchange as exchange_lib
--- a/tests/fake_calls.py
+++ b/tests/fake_calls.py
@@ -11,8 +11,8 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import ledger
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.keys import ledger
 from tests import fake_mesh
 
 NOT_RUN = outcome.Outcome.NOT_RUN
--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -13,14 +13,14 @@
 from typing import Any
 
 from monsoonpass.core import address as address_lib
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import config_messages
-from monsoonpass.core import control_machine
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import node as node_lib
 from monsoonpass.core import reducer
-from monsoonpass.core import replica as replica_lib
+from monsoonpass.core.agreement import control_machine
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import config_messages
 
 DELAY_S = (0.0005, 0.004)
 SYNC_S = (0.0002, 0.003)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,7 +1,7 @@
 """Tests of admission: slots, classes, priorities and early refusal."""
 
-from monsoonpass.core import admission
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import admission
+from monsoonpass.core.calls import outcome
 
 
 def make(slots: int = 4, queue_limit: int = 8) -> admission.Admission:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from monsoonpass.border import header_names
-from monsoonpass.core import answers
+from monsoonpass.core.calls import answers
 
 NAMES = header_names.HeaderNames(
     upstream_id=b"for", not_run=b"not-run", proof=b"proof"
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -11,9 +11,9 @@
 from monsoonpass.border import hello
 from monsoonpass.border import operator_text
 from monsoonpass.border import settings
-from monsoonpass.core import call_messages
-from monsoonpass.core import config_messages
-from monsoonpass.core import member
+from monsoonpass.core.calls import call_messages
+from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.membership import member
 from tests import fake_mesh
 
 SECRET = b"0123456789abcdef"
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -7,7 +7,7 @@
 import pytest
 
 from monsoonpass import errors
-from monsoonpass.core import catalog as catalog_lib
+from monsoonpass.core.distribution import catalog as catalog_lib
 from tests import fake_mesh
 
 NAMES = st.lists(st.sampled_from("abcdef"), min_size=1, unique=True)
--- a/tests/test_control_group.py
+++ b/tests/test_control_group.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from monsoonpass.core import config_messages
+from monsoonpass.core.distribution import config_messages
 from tests import fake_mesh
 
 Status = config_messages.SubmitStatus
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from monsoonpass.core import config_messages
-from monsoonpass.core import directory
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import member as member_lib
+from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.membership import directory
+from monsoonpass.core.membership import member as member_lib
 from tests import fake_mesh
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 from monsoonpass.border import operator_text
 from monsoonpass.core import logbook
-from monsoonpass.core import outcome
+from monsoonpass.core.calls import outcome
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -11,7 +11,7 @@
 import httpx
 import pytest
 
-from monsoonpass.core import call_messages
+from monsoonpass.core.calls import call_messages
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import peer_calls
 from monsoonpass.standin import local_mesh
--- a/tests/test_host_route.py
+++ b/tests/test_host_route.py
@@ -9,9 +9,9 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import host_route
-from monsoonpass.core import shares
+from monsoonpass.core.calls import shares
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import host_route
 
 PATHS = st.lists(st.sampled_from("abcdefgh"), unique=True)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from monsoonpass.core import host_route
+from monsoonpass.core.distribution import host_route
 from monsoonpass.runtime import http_server
 from monsoonpass.standin import local_mesh
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,7 +9,7 @@
 
 from monsoonpass import errors
 from monsoonpass.border import journal as journal_lib
-from monsoonpass.core import consensus_records as records
+from monsoonpass.core.agreement import consensus_records as records
 
 
 def entry(index: int) -> records.Entry:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from monsoonpass.core import ledger
+from monsoonpass.core.keys import ledger
 from monsoonpass.standin import local_mesh
 from tests import test_end_to_end
 
--- a/tests/test_newest.py
+++ b/tests/test_newest.py
@@ -1,8 +1,8 @@
 """Tests of conditional submits and of reads of the newest configuration."""
 
-from monsoonpass.core import config_messages
 from monsoonpass.core import events
-from monsoonpass.core import newest
+from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.distribution import newest
 from tests import fake_mesh
 
 Status = config_messages.SubmitStatus
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -2,9 +2,9 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
-from monsoonpass.core import member as member_lib
-from monsoonpass.core import own_upstream
 from monsoonpass.core import reducer
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import own_upstream
 from tests import fake_mesh
 
 UpstreamState = member_lib.UpstreamState
--- a/tests/test_reducer_fuzz.py
+++ b/tests/test_reducer_fuzz.py
@@ -8,14 +8,14 @@
 from hypothesis import strategies as st
 
 from monsoonpass import codec
-from monsoonpass.core import call_messages
-from monsoonpass.core import catalog as catalog_lib
-from monsoonpass.core import consensus_records as records
-from monsoonpass.core import control_machine
 from monsoonpass.core import events
-from monsoonpass.core import ledger
 from monsoonpass.core import reducer
 from monsoonpass.core import step
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import control_machine
+from monsoonpass.core.calls import call_messages
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.keys import ledger
 from tests import fake_calls
 from tests import fake_mesh
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,17 +3,17 @@
 Each names the line without which it fails.
 """
 
-from monsoonpass.core import config_messages
-from monsoonpass.core import consensus_records as records
-from monsoonpass.core import control_machine
-from monsoonpass.core import disk_queue
 from monsoonpass.core import effects
-from monsoonpass.core import election  # noqa: F401
 from monsoonpass.core import events
-from monsoonpass.core import follower  # noqa: F401
-from monsoonpass.core import group
-from monsoonpass.core import replica as replica_lib
-from monsoonpass.core import replication
+from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import control_machine
+from monsoonpass.core.agreement import disk_queue
+from monsoonpass.core.agreement import election  # noqa: F401
+from monsoonpass.core.agreement import follower  # noqa: F401
+from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import replica as replica_lib
+from monsoonpass.core.agreement import replication
+from monsoonpass.core.distribution import config_messages
 from tests import fake_mesh
 
 
