Let work wait only while it can meet its objective; do not shrink for grey sheds

Change: a shed with slots free leaves the slots; work waits only within its objective (owner) and near by first, then across regions, then not at all (entry); refused callers get the time when the queue is short again, spread. Learned service times stand in a module of their own. Tests replay each load.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -3,7 +3,12 @@
 The node is the only way in to its upstream, so it counts the slots exactly.
 Work is short or long by the time its route has taken so far. Long work leaves
 room for the short work that is expected, so that a lookup never waits behind
-a photo. What cannot meet its deadline is refused at once.
+a photo.
+
+Load pattern: a wave that exceeds the slots for seconds. A long queue would
+make every answer late while it lasts, so work waits only while it can still
+meet its objective; the rest is refused at once, with the time when the queue
+will be short enough again.
 """
 
 import bisect
@@ -11,21 +16,19 @@
 import math
 
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import service_times
 from monsoonpass.core.membership import member as member_lib
 
-SMOOTHING = 0.1
-LONG_FACTOR = 4.0
-DEFAULT_SERVICE_TIME_S = 0.01
-RATE_WINDOW_S = 0.5
-RESERVE_MARGIN = 1.5
-RETRY_AFTER_MIN_S = 0.05
-ROUTES_MAX = 4096
-REROUTE_WAIT_SHARE = 0.1
-MEDIAN_EVERY = 32
-MEDIAN_DECAY = 0.8
+RATE_WINDOW_S = 0.5  # Span over which the rate of short work is counted.
+RESERVE_MARGIN = 1.5  # Slots kept for short work, over what it needs.
+RETRY_AFTER_MIN_S = 0.1  # Less than that and a caller meets the same queue.
+RETRY_AFTER_MAX_S = 2.0  # A wave of load is over by then.
+REROUTE_WAIT_SHARE = 0.1  # Part of a service time that a hop elsewhere costs.
+LATE_SHARE = 0.25  # Part of the time past the objective that work may wait.
+SHED_FACTOR = 0.8  # Slots left after the upstream shed load when it was full.
+SHED_FLOOR = 0.25  # Part of the slots that are used however much it sheds.
 SLOW_START_S = 5.0
 SLOW_START_SHARE = 0.25
-SHED_FACTOR = 0.8
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -43,6 +46,7 @@
         idempotent: Whether it may be sent to an upstream again.
         dispatched_s: When it got a slot; infinite before.
         is_long: Its class when it got a slot.
+        best_before_s: When its answer is worth most; infinite if always.
     """
 
     work_id: int
@@ -55,6 +59,19 @@
     idempotent: bool = True
     dispatched_s: float = math.inf
     is_long: bool = False
+    best_before_s: float = math.inf
+
+    @property
+    def latest_s(self) -> float:
+        """When its answer must be complete to be worth the wait.
+
+        Work that was overtaken until its objective passed would take the
+        slot of work that can still meet one.
+        """
+        if self.best_before_s >= self.deadline_s:
+            return self.deadline_s
+        spare_s = self.deadline_s - self.best_before_s
+        return self.best_before_s + LATE_SHARE * spare_s
 
     @property
     def order(self) -> tuple[int, float, int]:
@@ -83,21 +100,6 @@
     refused: list[Refused] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RouteTimes:
-    """What was learned of a route's service time.
-
-    Attributes:
-        mean_s: Smoothed service time.
-        count: Calls that it was learned from.
-        recent: Calls lately, for the median over all routes.
-    """
-
-    mean_s: float
-    count: int = 0
-    recent: float = 0.0
-
-
 class Admission:
     """Slots and queue of the own upstream.
 
@@ -120,12 +122,9 @@
         self.unreachable_count = 0
         self.withdrawals = 0
         self._queue: list[tuple[tuple[int, float, int], Work]] = []
-        self._routes: dict[str, RouteTimes] = {}
-        self._short_s = DEFAULT_SERVICE_TIME_S
-        self._learned = 0
-        self._mean_s = DEFAULT_SERVICE_TIME_S
+        self._times = service_times.ServiceTimes()
         self._short_rate = 0.0
-        self._short_seen = 0
+        self._times.short_seen = 0
         self._window_start_s = 0.0
         self._ready_s = -math.inf
         self._slow_start_s = SLOW_START_S
@@ -155,7 +154,7 @@
         Calls in progress that run longer than usual raise the service time
         before any of them has ended, so a slowed upstream is told early.
         """
-        service_time_s = self._mean_s
+        service_time_s = self._times.mean_s
         if self.in_progress:
             elapsed_s = sum(
                 now_s - work.dispatched_s for work in self.in_progress.values()
@@ -224,12 +223,14 @@
             return decision
         self._count_arrival(work, now_s)
         wait_s = self.expected_wait_s(work, now_s)
-        if now_s + wait_s + self._expected_s(work) > work.deadline_s:
+        done_s = now_s + wait_s + self._expected_s(work)
+        if done_s > work.deadline_s or (wait_s and done_s > work.best_before_s):
+            room_s = done_s - min(work.best_before_s, work.deadline_s)
             decision.refused.append(
-                _refuse(work, outcome.Reason.OVERLOADED, wait_s)
+                _refuse(work, outcome.Reason.OVERLOADED, room_s)
             )
             return decision
-        if work.reroutable and wait_s > REROUTE_WAIT_SHARE * self._mean_s:
+        if work.reroutable and wait_s > REROUTE_WAIT_SHARE * self._times.mean_s:
             decision.refused.append(_refuse(work, outcome.Reason.BUSY, wait_s))
             return decision
         bisect.insort(self._queue, (work.order, work))
@@ -263,11 +264,16 @@
             What is dispatched, and refused, now.
         """
         decision = Decision()
+        was_full = len(self.in_progress) >= self._usable_slots(now_s)
         work = self.in_progress.pop(work_id, None)
         if shed:
-            self._shed_limit = max(self._shed_limit * SHED_FACTOR, 1.0)
+            # With slots free it is not load that the upstream sheds.
+            if was_full:
+                self._shed_limit = max(
+                    self._shed_limit * SHED_FACTOR, self.slots * SHED_FLOOR
+                )
         elif work is not None and ok:
-            self._learn(work, service_time_s)
+            self._times.learn(work.route, service_time_s)
             self._shed_limit += 1.0 / self._shed_limit
             self._shed_limit = min(self._shed_limit, float(self.slots))
         self._fill_slots(decision, now_s)
@@ -305,7 +311,7 @@
     def next_expiry_s(self) -> float:
         """Return when the first waiting call becomes too late."""
         return min(
-            (w.deadline_s - self._expected_s(w) for _, w in self._queue),
+            (w.latest_s - self._expected_s(w) for _, w in self._queue),
             default=math.inf,
         )
 
@@ -318,14 +324,11 @@
         free = slots - len(self.in_progress)
         if free > ahead:
             return 0.0
-        return (ahead - free + 1) * self._mean_s / slots
+        return (ahead - free + 1) * self._times.mean_s / slots
 
     def is_long(self, work: Work) -> bool:
         """Return whether work belongs to the long class."""
-        times = self._routes.get(work.route)
-        if times is None or times.count < 3:
-            return work.bulk
-        return times.mean_s > LONG_FACTOR * self._short_s
+        return self._times.is_long(work.route, unknown=work.bulk)
 
     def _usable_slots(self, now_s: float) -> int:
         """Return the slots in use.
@@ -344,7 +347,7 @@
 
     def _reserved_for_short(self) -> int:
         """Return the slots that long work leaves free (Little's law)."""
-        expected = self._short_rate * self._short_s * RESERVE_MARGIN
+        expected = self._short_rate * self._times.short_s * RESERVE_MARGIN
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
     def _fill_slots(self, decision: Decision, now_s: float) -> None:
@@ -372,66 +375,35 @@
 
         A call of a short route that straggles counts too.
         """
-        limit_s = LONG_FACTOR * max(self._short_s, self._expected_s(work))
+        limit_s = service_times.LONG_FACTOR * max(
+            self._times.short_s, self._expected_s(work)
+        )
         return work.is_long or now_s - work.dispatched_s > limit_s
 
     def _drop_late(self, decision: Decision, now_s: float) -> None:
         kept = []
         for item in self._queue:
             work = item[1]
-            if now_s + self._expected_s(work) > work.deadline_s:
+            if now_s + self._expected_s(work) > work.latest_s:
                 decision.refused.append(
-                    _refuse(work, outcome.Reason.DEADLINE, self._mean_s)
+                    _refuse(work, outcome.Reason.DEADLINE, self._times.mean_s)
                 )
             else:
                 kept.append(item)
         self._queue = kept
 
     def _expected_s(self, work: Work) -> float:
-        times = self._routes.get(work.route)
-        return times.mean_s if times else 0.0
-
-    def _learn(self, work: Work, service_time_s: float) -> None:
-        times = self._routes.get(work.route)
-        if times is None:
-            if len(self._routes) >= ROUTES_MAX:
-                self._routes.pop(next(iter(self._routes)))
-            times = RouteTimes(mean_s=service_time_s)
-            self._routes[work.route] = times
-        times.count += 1
-        # A straggler must not make its whole route look long.
-        sample_s = min(service_time_s, 3.0 * times.mean_s)
-        times.mean_s += SMOOTHING * (sample_s - times.mean_s)
-        times.recent += 1.0
-        self._mean_s += SMOOTHING * (service_time_s - self._mean_s)
-        self._learned += 1
-        if self._learned % MEDIAN_EVERY == 0 or self._learned < MEDIAN_EVERY:
-            self._update_median()
-
-    def _update_median(self) -> None:
-        """Take the usual service time from the median of recent calls.
-
-        A mean would follow the long work that it is meant to tell apart.
-        """
-        ordered = sorted(self._routes.values(), key=lambda t: t.mean_s)
-        left = sum(times.recent for times in ordered) / 2.0
-        for times in ordered:
-            left -= times.recent
-            if left <= 0.0:
-                self._short_s = times.mean_s
-                break
-        for times in ordered:
-            times.recent *= MEDIAN_DECAY
+        return self._times.expected_s(work.route)
 
     def _count_arrival(self, work: Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
         if elapsed_s >= RATE_WINDOW_S:
-            rate = self._short_seen / elapsed_s
+            rate = self._times.short_seen / elapsed_s
             self._short_rate += 0.5 * (rate - self._short_rate)
-            self._short_seen = 0
+            self._times.short_seen = 0
             self._window_start_s = now_s
         if not self.is_long(work):
-            self._short_seen += 1
+            self._times.short_seen += 1
 
 
 def _refuse(
@@ -439,7 +411,7 @@
 ) -> Refused:
     retry_after_s = None
     if wait_s is not None:
-        retry_after_s = max(wait_s, RETRY_AFTER_MIN_S)
+        retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
     failure = outcome.Failure(
         outcome=outcome.Outcome.NOT_RUN,
         reason=reason,
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
@@ -23,6 +24,8 @@
 RETRY_AFTER_S = 1.0
 HOP_MARGIN_S = 0.005
 PARK_S = 0.5
+RETURN_MIN_S = 0.05  # A new connection and the way back.
+RETURN_SPREAD = 2.0  # Times the wait over which returns are spread.
 BUDGET_SHARE = 0.5  # What repeated work calls counts as repeated, too.
 HEDGE_MIN_S = 0.005
 HEDGE_MIN_SAMPLES = 50
@@ -143,7 +146,8 @@
     may_park: bool = True,
 ) -> list[effects.Effect]:
     """Send a call to the next instance, or give it its final failure."""
-    choice = routing.choose(state, event, call.service, call.tried)
+    objective_s = call.best_before_s - event.now_s
+    choice = routing.choose(state, event, call.service, call.tried, objective_s)
     if choice is not None:
         return _send(state, event, call, choice)
     informed = directory.is_informed(state, event, call.service)
@@ -178,6 +182,7 @@
             arrived_s=event.now_s,
             reroutable=choice.reroutable and number == 1,
             idempotent=call.route.idempotent,
+            best_before_s=call.best_before_s,
         )
         decision = state.admission.offer(work, event.now_s)
         return [*perform(state, event, decision), *_arm_hedge(state, call)]
@@ -194,6 +199,7 @@
         idempotent=call.route.idempotent,
         priority=call.route.priority,
         reroutable=choice.reroutable and number == 1,
+        objective_s=max(call.best_before_s - event.now_s - choice.link_s, 0.0),
     )
     return [forward, *_arm_hedge(state, call)]
 
@@ -338,6 +344,7 @@
 ) -> list[effects.Effect]:
     """Give a call its final failure and settle its key."""
     call = state.calls.pop(call_id, None)
+    failure = _with_time_to_return(event, failure)
     timers = forget_timers(call) if call else []
     return [
         *timers,
@@ -346,6 +353,26 @@
     ]
 
 
+def _with_time_to_return(
+    event: events.Event, failure: outcome.Failure
+) -> outcome.Failure:
+    """Spread the returns of refused callers over the time of one wait.
+
+    Load pattern: a moment refuses hundreds of callers, who would all come
+    back at the same moment if they were told the same time.
+    """
+    if failure.outcome is not call_lib.NOT_RUN:
+        return failure
+    if failure.reason is Reason.UPSTREAM_SHED:
+        # It is not load that it shed, so nothing is gained by waiting.
+        return dataclasses.replace(failure, retry_after_s=RETURN_MIN_S)
+    if failure.retry_after_s is None:
+        return failure
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    spread_s = failure.retry_after_s * draws.uniform(1.0, RETURN_SPREAD)
+    return dataclasses.replace(failure, retry_after_s=spread_s)
+
+
 def forget_timers(call: call_lib.Call) -> list[effects.Effect]:
     """Return the effects that cancel the timers of a call."""
     result: list[effects.Effect] = [
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -33,6 +33,7 @@
         route_name: Names the route for what is learned of it.
         arrived_s: When it arrived.
         deadline_s: When its answer must be complete.
+        best_before_s: When its answer is worth most.
         tried: Instances that refused or failed it.
         attempts: Attempts under way, by number.
         attempt_count: Number of the last attempt.
@@ -48,6 +49,7 @@
     route_name: str
     arrived_s: float
     deadline_s: float
+    best_before_s: float
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
     attempt_count: int = 0
--- a/src/monsoonpass/core/calls/call_messages.py
+++ b/src/monsoonpass/core/calls/call_messages.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from monsoonpass import codec
 from monsoonpass.core.calls import outcome
@@ -32,6 +33,7 @@
         ended: Whether that is the whole body.
         traceparent: W3C trace context, or empty.
         idempotent: Whether it may be sent to an upstream again.
+        objective_s: Time left within which its answer is worth most.
     """
 
     call: int
@@ -48,6 +50,7 @@
     ended: bool
     traceparent: str
     idempotent: bool = True
+    objective_s: float = math.inf
 
 
 @codec.register(101)
--- a/src/monsoonpass/core/calls/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -52,6 +52,7 @@
         route_name=match.name,
         arrived_s=event.now_s,
         deadline_s=event.now_s + limit_s,
+        best_before_s=event.now_s + route.objective_s,
     )
     state.calls[event.call_id] = call
     attempts.budget(state, service).deposit()
@@ -225,6 +226,7 @@
         arrived_s=event.now_s,
         reroutable=event.reroutable,
         idempotent=event.idempotent,
+        best_before_s=event.now_s + event.objective_s,
     )
     if event.service != state.admission.service:
         return attempts.refuse(
--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -1,6 +1,7 @@
 """The choice of an upstream instance for a call."""
 
 import dataclasses
+import math
 
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import entropy as entropy_lib
@@ -12,6 +13,7 @@
 HOP_S = 0.002  # Time that the hop to another node adds.
 SAME_REGION_S = 0.001  # Round trip within a region before one is measured.
 OTHER_REGION_S = 0.016  # Round trip between regions before that.
+NEAR_WAIT_SHARE = 0.6  # Part of the objective that is spent nearby first.
 EJECT_SHARE = 0.5  # Below this share of sound candidates all are used.
 
 
@@ -40,42 +42,65 @@
     event: events.Event,
     service: str,
     tried: set[str],
+    objective_s: float = math.inf,
 ) -> Candidate | None:
-    """Choose the instance that should answer soonest.
+    """Choose the instance that should answer soonest for the least bytes.
 
-    Two random candidates with a free slot are compared by predicted
-    completion, in the own data centre, else in its region, else anywhere.
-    With no free slot known, the one that should answer soonest is chosen.
+    Load pattern: waves that reach the regions one after the other, and
+    moments in which every instance nearby is busy. A free slot nearby comes
+    first, then a short wait nearby, then a free slot across the paid link.
+    When no instance is believed to answer within the objective, the nearest
+    one decides; a call that one has already refused then ends.
 
     Args:
         state: The node.
         event: The cause, for its time and random bits.
         service: The service called.
         tried: Instances that refused or failed this call.
+        objective_s: Time left within which an answer is worth most.
 
     Returns:
-        The choice, or None without any candidate.
+        The choice, or None without any candidate worth a try.
     """
     draws = entropy_lib.Entropy(bits=event.entropy)
     now_s = event.now_s
-    tiers = _tiers(state, event, service, tried)
-    for tier in tiers:
-        free = [c for c in tier if not _is_saturated(state, c, now_s)]
-        best = _best_of_two(state, free, draws, now_s)
+    near, far = _tiers(state, event, service, tried)
+    for tier in near:
+        best = _best_of_two(state, _free(state, tier, now_s), draws, now_s)
         if best is not None:
-            several = len(free) > 1 or len(tiers) > 1
-            return dataclasses.replace(best, reroutable=several)
-    crowded = [candidate for tier in tiers for candidate in tier]
-    if not crowded:
-        return None
-    best = min(crowded, key=lambda c: _predict(state, c, now_s))
-    return dataclasses.replace(best, reroutable=len(crowded) > 1)
+            return dataclasses.replace(best, reroutable=True)
+    close = [candidate for tier in near for candidate in tier]
+    soonest = _soonest(state, close, now_s)
+    if soonest is not None:
+        predicted_s = _predict(state, soonest, now_s)
+        if predicted_s <= NEAR_WAIT_SHARE * objective_s < math.inf:
+            return soonest
+    across = _best_of_two(state, _free(state, far, now_s), draws, now_s)
+    if across is not None:
+        return dataclasses.replace(across, reroutable=True)
+    if soonest is not None and (not tried or predicted_s <= objective_s):
+        return soonest
+    return None if tried else _soonest(state, far, now_s)
+
+
+def _free(
+    state: node.Node, candidates: list[Candidate], now_s: float
+) -> list[Candidate]:
+    return [c for c in candidates if not _is_saturated(state, c, now_s)]
+
+
+def _soonest(
+    state: node.Node, candidates: list[Candidate], now_s: float
+) -> Candidate | None:
+    return min(
+        candidates, key=lambda c: _predict(state, c, now_s), default=None
+    )
 
 
 def _tiers(
     state: node.Node, event: events.Event, service: str, tried: set[str]
-) -> list[list[Candidate]]:
-    """Return the candidates, those nearest by first, without empty tiers.
+) -> tuple[list[list[Candidate]], list[Candidate]]:
+    """Return the candidates of the region, nearest first, and the others.
 
     A nearer one with a free slot answers sooner than any farther one, and
     bytes on links between data centres and regions are paid for.
@@ -90,7 +115,7 @@
         else:
             tiers[2].append(candidate)
     tiers[2] += remote_candidates(state, service, tried)
-    return [tier for tier in tiers if tier]
+    return tiers[:2], tiers[2]
 
 
 def remote_candidates(
--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -14,6 +14,7 @@
 EJECT_MAX_S = 30.0
 PEERS_MAX = 8192
 CROWDING = 0.1
+UNKNOWN_SLOTS = 4  # Slots of an upstream before its node has told.
 MEDIAN_STEP = 0.03
 
 
@@ -198,7 +199,10 @@
         load = peer.load
         if load is None or now_s - peer.load_s > LOAD_FRESH_S:
             service_s = peer.latency_s or DEFAULT_SERVICE_TIME_S
-            return link_s + service_s * (1 + peer.in_flight)
+            slots = load.slots if load is not None else UNKNOWN_SLOTS
+            waiting = max(peer.in_flight + 1 - slots, 0)
+            crowding = CROWDING * peer.in_flight / slots
+            return link_s + service_s * (1 + crowding + waiting / slots)
         return link_s + predict_load_s(load, peer.sent_since)
 
 
--- /dev/null
+++ b/src/monsoonpass/core/calls/service_times.py
@@ -0,0 +1,87 @@
+"""Service times learned from the answers of the own upstream."""
+
+import dataclasses
+
+SMOOTHING = 0.1  # Weight of a new sample.
+LONG_FACTOR = 4.0  # Routes that take so much longer than usual are long.
+DEFAULT_SERVICE_TIME_S = 0.01  # Before anything is learned.
+ROUTES_MAX = 4096  # Routes whose times are remembered.
+KNOWN_AFTER = 3  # Samples before a route is told long or short.
+MEDIAN_EVERY = 32  # Samples between two looks at the median.
+MEDIAN_DECAY = 0.8  # What is left of a route's count at each look.
+STRAGGLER_FACTOR = 3.0  # Samples beyond that multiple count as that much.
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RouteTimes:
+    """What was learned of a route's service time.
+
+    Attributes:
+        mean_s: Smoothed service time.
+        count: Calls that it was learned from.
+        recent: Calls lately, for the median over all routes.
+    """
+
+    mean_s: float
+    count: int = 0
+    recent: float = 0.0
+
+
+class ServiceTimes:
+    """Service times by route, and of all routes together.
+
+    Attributes:
+        mean_s: Smoothed time of all calls.
+        short_s: The usual time: the median over recent calls.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = DEFAULT_SERVICE_TIME_S
+        self.short_s = DEFAULT_SERVICE_TIME_S
+        self._routes: dict[str, RouteTimes] = {}
+        self._learned = 0
+
+    def expected_s(self, route: str) -> float:
+        """Return how long a call of a route takes; 0 if nothing is known."""
+        times = self._routes.get(route)
+        return times.mean_s if times else 0.0
+
+    def is_long(self, route: str, *, unknown: bool) -> bool:
+        """Return whether a route is long, or a default before it is known."""
+        times = self._routes.get(route)
+        if times is None or times.count < KNOWN_AFTER:
+            return unknown
+        return times.mean_s > LONG_FACTOR * self.short_s
+
+    def learn(self, route: str, service_time_s: float) -> None:
+        """Take the time that a call took."""
+        times = self._routes.get(route)
+        if times is None:
+            if len(self._routes) >= ROUTES_MAX:
+                self._routes.pop(next(iter(self._routes)))
+            times = RouteTimes(mean_s=service_time_s)
+            self._routes[route] = times
+        times.count += 1
+        # A straggler must not make its whole route look long.
+        sample_s = min(service_time_s, STRAGGLER_FACTOR * times.mean_s)
+        times.mean_s += SMOOTHING * (sample_s - times.mean_s)
+        times.recent += 1.0
+        self.mean_s += SMOOTHING * (service_time_s - self.mean_s)
+        self._learned += 1
+        if self._learned % MEDIAN_EVERY == 0 or self._learned < MEDIAN_EVERY:
+            self._update_median()
+
+    def _update_median(self) -> None:
+        """Take the usual service time from the median of recent calls.
+
+        A mean would follow the long work that it is meant to tell apart.
+        """
+        ordered = sorted(self._routes.values(), key=lambda t: t.mean_s)
+        left = sum(times.recent for times in ordered) / 2.0
+        for times in ordered:
+            left -= times.recent
+            if left <= 0.0:
+                self.short_s = times.mean_s
+                break
+        for times in ordered:
+            times.recent *= MEDIAN_DECAY
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -1,6 +1,7 @@
 """Effects: what the reducer wants done, as data."""
 
 import dataclasses
+import math
 from typing import Any
 
 from monsoonpass.core import address
@@ -101,6 +102,7 @@
         idempotent: Whether the route is idempotent.
         priority: Order of admission, lowest first.
         reroutable: Whether the owner should refuse rather than queue it.
+        objective_s: Time left within which its answer is worth most.
     """
 
     call_id: int
@@ -113,6 +115,7 @@
     idempotent: bool
     priority: int
     reroutable: bool
+    objective_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -1,6 +1,7 @@
 """Events: everything that happens to a node, with its time and random bits."""
 
 import dataclasses
+import math
 from typing import Any
 
 from monsoonpass.core import address
@@ -333,6 +334,7 @@
         route: Name of the route, for its learned service time.
         reroutable: Whether to refuse it rather than to queue it.
         idempotent: Whether it may be sent to an upstream again.
+        objective_s: Time left within which its answer is worth most.
     """
 
     work_id: int
@@ -343,6 +345,7 @@
     route: str
     reroutable: bool = False
     idempotent: bool = True
+    objective_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/runtime/peer_calls.py
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -276,4 +276,5 @@
             route=message.route,
             reroutable=message.reroutable,
             idempotent=message.idempotent,
+            objective_s=message.objective_s,
         )
--- a/src/monsoonpass/runtime/remote_attempts.py
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -177,6 +177,7 @@
             ended=is_whole,
             traceparent=exchange.span.traceparent,
             idempotent=effect.idempotent,
+            objective_s=effect.objective_s,
         )
         attempt.bind(self._mesh.send_call(effect.to, message))
 
--- a/tests/fake_calls.py
+++ b/tests/fake_calls.py
@@ -132,6 +132,7 @@
             bulk=effect.bulk,
             route=effect.route,
             reroutable=effect.reroutable,
+            objective_s=effect.objective_s,
         )
 
     def _link_lost(self, target: "CallNode", effect: effects.Forward) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -162,3 +162,78 @@
         assert own.is_long(work(1, bulk=True, route="new"))
         teach(own, "new", 0.01)
         assert not own.is_long(work(2, bulk=True, route="new"))
+
+
+class TestGreyShedding:
+    def test_upstream_that_sheds_with_slots_free_keeps_its_slots(self):
+        """Replays an upstream that turns half of its calls away at random.
+
+        Guard: `if was_full` in Admission.finish.
+        """
+        own = make(slots=8, queue_limit=1000)
+        for number in range(200):
+            own.offer(work(number), 0.0)
+            own.finish(
+                number,
+                service_time_s=0.001,
+                ok=False,
+                now_s=0.0,
+                shed=number % 2 == 0,
+            )
+        for number in range(1000, 1020):
+            own.offer(work(number), 0.0)
+        assert len(own.in_progress) == 8
+
+
+class TestObjective:
+    def play_wave(self, objective_s: float) -> tuple[int, int]:
+        """Offer twice the capacity for two seconds.
+
+        Returns:
+            Calls answered within their objective, and refused at once.
+        """
+        own = make(slots=4, queue_limit=1000)
+        teach(own, "short", 0.1)
+        ends: list[tuple[float, int]] = []
+        arrived_s: dict[int, float] = {}
+        in_time = refused = 0
+        for number in range(160):
+            now_s = number * 0.0125
+            while ends and ends[0][0] <= now_s:
+                end_s, done = ends.pop(0)
+                in_time += end_s - arrived_s[done] <= 0.3 + 1e-9
+                decision = own.finish(
+                    done, service_time_s=0.1, ok=True, now_s=end_s
+                )
+                ends += [(end_s + 0.1, w.work_id) for w in decision.dispatch]
+                ends.sort()
+            arrived_s[number] = now_s
+            decision = own.offer(
+                work(
+                    number,
+                    deadline_s=now_s + 1.5,
+                    best_before_s=now_s + objective_s,
+                ),
+                now_s,
+            )
+            refused += len(decision.refused)
+            ends += [(now_s + 0.1, w.work_id) for w in decision.dispatch]
+            ends.sort()
+        return in_time, refused
+
+    def test_wave_is_answered_in_time_or_refused_at_once(self):
+        """Guard: `done_s > work.best_before_s` in Admission.offer."""
+        in_time, refused = self.play_wave(objective_s=0.3)
+        assert in_time >= 0.45 * 160
+        assert refused > 0
+        patient, _ = self.play_wave(objective_s=1.5)
+        assert in_time > patient
+
+    def test_refusal_tells_when_the_queue_is_short_again(self):
+        own = make(slots=1, queue_limit=1000)
+        teach(own, "short", 0.1)
+        for number in range(4):
+            own.offer(work(number, best_before_s=9.0), 0.0)
+        decision = own.offer(work(9, best_before_s=0.3), 0.0)
+        told_s = decision.refused[0].failure.retry_after_s
+        assert 0.15 <= told_s <= 0.3
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,103 @@
+"""Tests of placing: nearest free slot, short waits, the paid link."""
+
+import dataclasses
+
+import pytest
+
+from monsoonpass.core import events
+from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import call as call_lib
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import routing
+from monsoonpass.core.membership import member as member_lib
+from tests import fake_mesh
+
+SERVICE_S = 0.1
+
+
+class Scene:
+    """A node in data centre a1 of region a that knows some instances."""
+
+    def __init__(self, **places):
+        self.mesh = fake_mesh.FakeMesh(seed=3)
+        node = self.mesh.add(
+            "n", data_centre="a1", disk=False, seeds=(), voters=(), flat=True
+        )
+        node.settings = dataclasses.replace(node.settings, region="a")
+        node.start()
+        self.state = node.state
+        self.event = events.Event(now_s=self.mesh.now_s, entropy=5)
+        for name, (data_centre, busy) in places.items():
+            self.add(name, data_centre, busy)
+
+    def add(self, name: str, data_centre: str, busy: int) -> None:
+        """Add an instance with four slots and some calls."""
+        now_s = self.mesh.now_s
+        member = member_lib.Member(
+            address=fake_mesh.address(name),
+            data_centre=data_centre,
+            region=data_centre[0],
+            incarnation=1,
+            state=member_lib.MemberState.ALIVE,
+            has_disk=False,
+            service="shop",
+            slots=4,
+            upstream=member_lib.UpstreamState.READY,
+        )
+        self.state.membership.table.put(member, now_s)
+        load = outcome.Load(
+            slots=4,
+            in_progress=min(busy, 4),
+            queued=max(busy - 4, 0),
+            service_time_s=SERVICE_S,
+        )
+        self.state.routing.reported(name, load, now_s)
+
+    def choose(self, objective_s: float, tried=frozenset()) -> str | None:
+        """Return the name of the chosen instance."""
+        chosen = routing.choose(
+            self.state, self.event, "shop", set(tried), objective_s
+        )
+        return chosen.instance if chosen else None
+
+
+class TestPlacing:
+    @pytest.mark.parametrize(
+        ("places", "expected"),
+        [
+            ({"x": ("a1", 3), "y": ("a2", 0), "z": ("b1", 0)}, "x"),
+            ({"x": ("a1", 4), "y": ("a2", 3), "z": ("b1", 0)}, "y"),
+            ({"x": ("a1", 5), "y": ("a2", 9), "z": ("b1", 0)}, "x"),
+            ({"x": ("a1", 40), "y": ("a2", 40), "z": ("b1", 0)}, "z"),
+            ({"x": ("a1", 80), "y": ("a2", 60), "z": ("b1", 40)}, "y"),
+        ],
+    )
+    def test_free_slot_then_short_wait_then_the_other_region(
+        self, places, expected
+    ):
+        assert Scene(**places).choose(objective_s=0.4) == expected
+
+    def test_refused_call_is_not_sent_around_a_full_service(self):
+        """Guard: the last line of routing.choose."""
+        scene = Scene(x=("a1", 80), y=("a2", 80), z=("b1", 80))
+        first = scene.choose(objective_s=0.4)
+        assert first in ("x", "y")
+        assert scene.choose(objective_s=0.4, tried={first}) is None
+
+
+class TestReturns:
+    def test_refused_callers_are_told_different_times(self):
+        """Guard: the draw in attempts._with_time_to_return."""
+        failure = outcome.Failure(
+            outcome=call_lib.NOT_RUN,
+            reason=outcome.Reason.OVERLOADED,
+            retry_after_s=0.2,
+        )
+        told = set()
+        for number in range(50):
+            event = events.Event(now_s=0.0, entropy=number * 7919)
+            result = attempts._with_time_to_return(event, failure)
+            told.add(round(result.retry_after_s, 2))
+        assert min(told) >= 0.2
+        assert max(told) <= 0.2 * attempts.RETURN_SPREAD
+        assert len(told) > 10
