--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -25,7 +25,8 @@
 RETRY_AFTER_MAX_S = 2.0  # A wave of load is over by then.
 REROUTE_WAIT_SHARE = 0.1  # Part of a service time that a hop elsewhere costs.
 LATE_SHARE = 0.25  # Part of the time past the objective that work may wait.
-SHED_FACTOR = 0.8  # Slots left after the upstream shed load when it was full.
+SHED_FACTOR = 0.8  # Slots left after the upstream shed load.
+PROVED_S = 2.0  # Time for which a number of calls at once counts as proved.
 SHED_FLOOR = 0.25  # Part of the slots that are used however much it sheds.
 SLOW_START_S = 5.0
 SLOW_START_SHARE = 0.25
@@ -47,6 +48,7 @@
         dispatched_s: When it got a slot; infinite before.
         is_long: Its class when it got a slot.
         best_before_s: When its answer is worth most; infinite if always.
+        beside: Calls in progress when it got a slot, itself included.
     """
 
     work_id: int
@@ -60,6 +62,7 @@
     dispatched_s: float = math.inf
     is_long: bool = False
     best_before_s: float = math.inf
+    beside: int = 0
 
     @property
     def latest_s(self) -> float:
@@ -129,6 +132,8 @@
         self._ready_s = -math.inf
         self._slow_start_s = SLOW_START_S
         self._shed_limit = math.inf
+        self._proved_slots = 0
+        self._proved_s = -math.inf
 
     @property
     def queued(self) -> int:
@@ -264,18 +269,14 @@
             What is dispatched, and refused, now.
         """
         decision = Decision()
-        was_full = len(self.in_progress) >= self._usable_slots(now_s)
         work = self.in_progress.pop(work_id, None)
         if shed:
-            # With slots free it is not load that the upstream sheds.
-            if was_full:
-                self._shed_limit = max(
-                    self._shed_limit * SHED_FACTOR, self.slots * SHED_FLOOR
-                )
+            self._shrink(now_s)
         elif work is not None and ok:
             self._times.learn(work.route, service_time_s)
             self._shed_limit += 1.0 / self._shed_limit
             self._shed_limit = min(self._shed_limit, float(self.slots))
+            self._prove(work, now_s)
         self._fill_slots(decision, now_s)
         return decision
 
@@ -330,6 +331,25 @@
         """Return whether work belongs to the long class."""
         return self._times.is_long(work.route, unknown=work.bulk)
 
+    def _prove(self, work: Work, now_s: float) -> None:
+        """Note how many calls the upstream was seen to run at once."""
+        is_old = now_s - self._proved_s > PROVED_S
+        if is_old or work.beside >= self._proved_slots:
+            self._proved_slots = work.beside
+            self._proved_s = now_s
+
+    def _shrink(self, now_s: float) -> None:
+        """Give an upstream that sheds fewer calls at once.
+
+        One that turns calls away at random still runs others beside as many;
+        fewer slots would only turn more away.
+        """
+        floor = self.slots * SHED_FLOOR
+        if now_s - self._proved_s <= PROVED_S:
+            floor = max(floor, float(self._proved_slots))
+        smaller = max(self._shed_limit * SHED_FACTOR, floor)
+        self._shed_limit = min(self._shed_limit, smaller)
+
     def _usable_slots(self, now_s: float) -> int:
         """Return the slots in use.
 
@@ -368,6 +388,7 @@
             long_room -= work.is_long
             work.dispatched_s = now_s
             self.in_progress[work.work_id] = work
+            work.beside = len(self.in_progress)
             decision.dispatch.append(work)
 
     def _holds_long(self, work: Work, now_s: float) -> bool:
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -78,9 +78,6 @@
     """
     result: list[effects.Effect] = []
     for work in decision.dispatch:
-        call = state.calls.get(work.work_id)
-        if call is not None:
-            call.touched = True
         timeout_s = max(work.deadline_s - event.now_s, 0.001)
         result.append(
             effects.Dispatch(
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -18,9 +18,9 @@
 from monsoonpass.core.distribution import newest
 from monsoonpass.core.distribution import submission
 
-COLD_RETRY_S = 0.5
+COLD_RETRY_S = 0.4  # Less than an election takes after all voters restart.
 HINT_INTERVAL_S = 0.1
-COLD_RETRY_MAX_S = 4.0
+COLD_RETRY_MAX_S = 1.0  # Callers are refused until a quorum has answered.
 
 
 @step.receive.register
