Keep the upstream in use until a planned stop is near; hedge into free slots only

Change: peers are told one second before the earliest end; a hedge needs a free slot, and pays its budget only then; the stop ends 0.8 s before the kill.

--- a/src/monsoonpass/border/settings.py
+++ b/src/monsoonpass/border/settings.py
@@ -24,7 +24,7 @@
 ]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 _SECRET_MIN_CHARS = 16
-KILL_MARGIN_S = 0.5  # Time to close everything before the process is killed.
+KILL_MARGIN_S = 0.8  # Time to close everything before the process is killed.
 
 
 class HostPort(pydantic.BaseModel):
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -50,13 +50,16 @@
         return []
     if not call.may_reach_another:
         return []
-    if not budget(state, call.service).withdraw():
-        return []
     running = {attempt.instance for attempt in call.attempts.values()}
     choice = routing.choose(state, event, call.service, call.tried | running)
     own = state.settings.address.instance
     if choice is None or choice.link_s or choice.instance == own:
         return []
+    if not choice.reroutable:
+        # No slot is free; a second attempt would take a first one's place.
+        return []
+    if not budget(state, call.service).withdraw():
+        return []
     call.hedged = True
     return _send(state, event, call, choice)
 
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -151,6 +151,11 @@
     """A planned stop checks whether work is still in progress."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeavePeers(Timer):
+    """A planned stop is near enough to ask peers for no more calls."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Started(Event):
     """The process started.
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -27,6 +27,7 @@
 assert _survey  # Imported for its registrations.
 
 DRAIN_CHECK_S = 0.05
+PEERS_DRAIN_S = 1.0  # Time in which calls that peers have sent end.
 
 step = step_lib.step
 
@@ -83,13 +84,22 @@
 def _leave(
     state: node.Node, event: events.StopRequested
 ) -> list[effects.Effect]:
-    """Ask peers to send no more calls.
+    """Begin to leave.
 
-    Callers that do not know yet of the stop are still served, by the own
-    upstream too, since a refusal costs them more than a last answer.
+    Callers that do not know yet of the stop are still served, since a refusal
+    costs them more than a last answer. Peers go on using the upstream until
+    it takes about one call's time to end what it runs.
     """
     if not state.settings.stop_after_s:
         return own_upstream.drain(state, event)
+    delay_s = max(state.settings.stop_after_s - PEERS_DRAIN_S, 0.0)
+    return [effects.SetTimer(timer=events.LeavePeers(), delay_s=delay_s)]
+
+
+@step_lib.expire.register
+def _(
+    timer: events.LeavePeers, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
     draining = member_lib.UpstreamState.DRAINING
     return [
         *gossip.change_own(state, event, upstream=draining),
