--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,57 @@
+"""Tests of the bounds of second tries."""
+
+from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import call as call_lib
+from tests import test_host_route
+from tests import test_routing
+
+RATIO = 0.2
+SLACK = 60.0
+
+
+class TestBudget:
+    def test_all_nodes_together_stay_within_the_fleets_budget(self):
+        """Replays a fleet whose first sends all fail.
+
+        Guard: the division by `nodes` in attempts.budget.
+        """
+        spent = calls = 0
+        for _ in range(12):
+            scene = test_routing.Scene(
+                **{f"x{number}": ("a1", 0) for number in range(11)}
+            )
+            state = scene.state
+            for _ in range(300):
+                calls += 1
+                attempts.budget(state, "shop").deposit()
+                spent += attempts.budget(state, "shop").withdraw()
+        assert spent <= RATIO * calls + SLACK
+
+    def test_most_of_a_nodes_budget_comes_with_its_calls(self):
+        scene = test_routing.Scene(x=("a1", 0))
+        budget = attempts.budget(scene.state, "shop")
+        while budget.withdraw():
+            pass
+        for _ in range(100):
+            budget.deposit()
+        assert budget.tokens <= 100 * RATIO
+
+
+class TestBounds:
+    def test_call_reaches_no_more_upstreams_than_its_route_allows(self):
+        """Guard: the sum in Call.may_reach_another."""
+        route = test_host_route.make_route("/", attempts_max=2)
+        call = call_lib.Call(
+            call_id=1,
+            service="shop",
+            route=route,
+            route_name="r",
+            arrived_s=0.0,
+            deadline_s=1.0,
+            best_before_s=0.5,
+        )
+        assert call.may_reach_another
+        call.attempts[1] = call_lib.Attempt(instance="x", started_s=0.0)
+        assert call.may_reach_another
+        call.arrivals += 1
+        assert not call.may_reach_another
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,209 @@
+"""Tests of the adapter: template, entry point, headers; without the kit."""
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tomllib
+
+from monsoonpass.border import header_names
+from monsoonpass.border import settings as settings_lib
+from monsoonpass.core import events
+from monsoonpass.core.calls import outcome
+from monsoonpass.runtime import caller_http
+from tests import test_own_upstream
+
+ROOT = pathlib.Path(__file__).parent.parent
+DEPLOY = ROOT / "deploy"
+NAMES = header_names.HeaderNames(
+    timeout_ms=b"left", upstream_id=b"for", caller_service=b"from"
+)
+FIELDS = {
+    "ip": "10.1.0.20",
+    "zone": "east-1",
+    "region": "east",
+    "listen": {
+        "control": "10.1.0.20:8283",
+        "outbound": "10.1.0.20:8287",
+        "ready": "10.1.0.20:8285",
+    },
+    "internalPorts": [7000, 7015],
+    "seeds": ["10.1.0.23:8283", "10.2.0.31:8283", "10.3.0.12:8283"],
+    "bootstrap": True,
+    "tolerate": {"machines": 1},
+    "bounds": {
+        "grace": 6,
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 60,
+        "budgetWindow": 10,
+    },
+    "service": "shop",
+}
+
+
+def render(fields: dict) -> str:
+    """Fill in the settings template, as far as it uses placeholders."""
+
+    def value(name: str):
+        found = fields
+        for part in name.split("."):
+            if isinstance(found, list):
+                found = found[int(part)]
+            else:
+                found = found.get(part) if found else None
+        return found
+
+    def section(match: re.Match) -> str:
+        found = value(match[1])
+        items = found if isinstance(found, list) else [found] if found else []
+        return "".join(match[2].replace("{{.}}", str(i)) for i in items)
+
+    def plain(match: re.Match) -> str:
+        found = value(match[1])
+        if found is None:
+            return ""
+        return json.dumps(found) if isinstance(found, bool) else str(found)
+
+    text = (DEPLOY / "node.ini").read_text()
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.DOTALL
+    )
+    return re.sub(r"\{\{([\w.]+)\}\}", plain, text)
+
+
+class TestTemplate:
+    def test_it_gives_settings_for_a_node_beside_an_upstream(self):
+        read = settings_lib.parse(render(FIELDS))
+        core = read.core_settings()
+        assert core.address.instance == "10.1.0.20"
+        assert core.address.port == 7000
+        assert not core.has_disk
+        assert core.flat
+        assert core.drain_limit_s < 6
+        assert [seed.address.instance for seed in core.seeds] == [
+            "10.1.0.23",
+            "10.2.0.31",
+            "10.3.0.12",
+        ]
+        assert {seed.address.port for seed in core.seeds} == {7000}
+        assert len(read.listen.operators) == 3
+
+    def test_it_gives_settings_for_a_voter(self):
+        fields = {
+            **FIELDS,
+            "ip": "10.1.0.23",
+            "dataDir": "/data/x",
+            "service": None,
+            "listen": {"control": "10.1.0.23:8283"},
+        }
+        read = settings_lib.parse(render(fields))
+        core = read.core_settings()
+        assert core.has_disk
+        assert core.bootstrap_voters == (
+            "10.1.0.23",
+            "10.2.0.31",
+            "10.3.0.12",
+        )
+        assert (core.voters, core.copies_min) == (3, 2)
+        assert read.listen.callers == ()
+
+    def test_two_losses_need_five_voters_and_three_copies(self):
+        fields = {**FIELDS, "tolerate": {"machines": 2}}
+        core = settings_lib.parse(render(fields)).core_settings()
+        assert (core.voters, core.copies_min) == (5, 3)
+        assert len(core.bootstrap_voters) == 3
+
+    def test_later_starts_found_no_group(self):
+        fields = {**FIELDS, "bootstrap": False}
+        assert settings_lib.parse(render(fields)).bootstrap_voters == ()
+
+
+class TestDeploy:
+    def test_dependencies_are_those_of_the_project(self):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        known = set(project["project"]["dependencies"])
+        needed = (DEPLOY / "requirements.txt").read_text().split()
+        assert set(needed) <= known
+
+    def test_entry_point_reads_the_settings_that_it_is_told(self, tmp_path):
+        path = tmp_path / "node.ini"
+        path.write_text("[node]\n")
+        done = subprocess.run(
+            [sys.executable, "src/monsoonpass/platform/__main__.py"],
+            cwd=ROOT,
+            env={**os.environ, "MONSOONPASS_BOOT": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        assert done.returncode == 2
+        assert "[node] instance" in done.stderr
+
+    def test_names_of_the_platform_stand_in_the_deploy_folder_only(self):
+        wire = tomllib.loads((DEPLOY / "wire.toml").read_text())
+        foreign = re.compile(
+            "|".join(
+                re.escape(name) for name in wire["fields"] if name != "timeout"
+            )
+        )
+        for path in (ROOT / "src").rglob("*.py"):
+            if "platform" not in path.parts:
+                assert not foreign.search(path.read_text()), path
+
+
+class TestHeaders:
+    def test_nodes_word_replaces_the_callers(self):
+        """Guard: the `own` set in caller_http.request_headers."""
+        got = caller_http.request_headers(
+            [
+                (b"host", b"h"),
+                (b"from", b"forged"),
+                (b"left", b"99999"),
+                (b"for", b"i-1"),
+                (b"connection", b"x-hop, close"),
+                (b"x-hop", b"1"),
+                (b"x-kept", b"1"),
+            ],
+            NAMES,
+            "shop",
+        )
+        assert got == (
+            (b"host", b"h"),
+            (b"x-kept", b"1"),
+            (b"from", b"shop"),
+        )
+
+    def test_time_to_return_may_have_fractions(self):
+        failure = outcome.Failure(
+            outcome=outcome.Outcome.NOT_RUN,
+            reason=outcome.Reason.OVERLOADED,
+            retry_after_s=0.123,
+        )
+        fine = header_names.HeaderNames(retry_after_decimals=2)
+        for names, expected in ((fine, b"0.13"), (NAMES, b"1")):
+            status, headers, _ = caller_http.failure_response(failure, names)
+            assert status == 503
+            assert dict(headers)[b"retry-after"] == expected
+
+
+class TestNoVersion:
+    def test_node_without_a_version_says_not_run_and_never_no_route(self):
+        """Guard: `state.config.serves` in calls._refusal_at_arrival."""
+        scene = test_own_upstream.Scene()
+        scene.state.config.ready = True
+        scene.node.feed(
+            events.CallArrived,
+            call_id=7,
+            host="shop",
+            method="GET",
+            path="/",
+            timeout_s=None,
+            key=None,
+        )
+        refusal = scene.node.performed[-1]
+        assert refusal.failure.reason is outcome.Reason.NO_CONFIGURATION
+        status, _, _ = caller_http.failure_response(refusal.failure, NAMES)
+        assert status == 503
