Tell members of a new version by hints; learn the table from a stranger's ping

Change: a node that brings a version into force tells four random members after 0.1 s, and one that is pinged by a node it does not know synchronises its table with it.

--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -92,6 +92,14 @@
     version: int
 
 
+@codec.register(59)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VersionHint:
+    """Tells some members of the version that came into force here."""
+
+    version: int
+
+
 @codec.register(44)
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Fetch:
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -24,7 +24,9 @@
 
 FAN_OUT = 8
 HISTORY_MAX = 256
-FETCH_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 0.4  # A lost answer must not cost most of a second.
+HINT_DELAY_S = 0.1  # Longer than a push takes; one hint for a storm.
+HINT_FAN_OUT = 4  # Twice as many as an epidemic needs to reach everyone.
 PUSH_RETRY_S = 0.4
 PUSH_ATTEMPTS_MAX = 10
 
@@ -303,12 +305,47 @@
         config.history.append(delta)
         if len(config.history) > HISTORY_MAX:
             config.history.popleft()
-    return [
+    result: list[effects.Effect] = [
         effects.Log(
             code=logbook.Code.VERSION_IN_FORCE,
             fields={"version": catalog.version},
         )
     ]
+    if not config.hint_set:
+        config.hint_set = True
+        timer = effects.SetTimer(timer=events.HintDue(), delay_s=HINT_DELAY_S)
+        result.append(timer)
+    return result
+
+
+@step.expire.register
+def _(
+    timer: events.HintDue, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    """Tell random members of the version, for what the tree has missed.
+
+    A leader that has just restarted knows few members, so its tree is short.
+    """
+    state.config.hint_set = False
+    own = state.settings.address.instance
+    others = [
+        member.address
+        for member in state.membership.table.alive()
+        if member.instance != own
+    ]
+    hint = messages.VersionHint(version=state.config.version)
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    return [
+        effects.SendDatagram(to=to, message=hint)
+        for to in draws.sample(others, HINT_FAN_OUT)
+    ]
+
+
+@step.receive.register
+def _(
+    message: messages.VersionHint, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    return heard_version(state, event, message.version)
 
 
 def _newer_than(
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -68,6 +68,11 @@
     """The first version was not obtained yet."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HintDue(Timer):
+    """Some members are due to be told of the version in force."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class FetchRetry(Timer):
     """A fetch of a newer version was not answered."""
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -152,6 +152,9 @@
         updates=gossip.take_updates(state),
     )
     result.append(effects.SendDatagram(to=event.sender, message=ack))
+    if state.membership.table.get(event.sender.instance) is None:
+        # After a restart of this node, the sender knows more than the seeds.
+        result.append(_sync_request(state, event.sender))
     return result + _heard(state, event, message.version, message.table_digest)
 
 
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -147,6 +147,7 @@
         fetching: Instance that a newer version was asked of, or empty.
         fetch_version: The version hoped for.
         cold_attempts: Attempts to obtain the first version.
+        hint_set: Whether members are due to be told of the version.
         pushes: The leader's pushes that a data centre has not acknowledged.
     """
 
@@ -163,6 +164,7 @@
     fetching: str = ""
     fetch_version: int = 0
     cold_attempts: int = 0
+    hint_set: bool = False
     pushes: dict[str, Any] = dataclasses.field(default_factory=dict)
 
     @property
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -95,6 +95,47 @@
         mesh.check_converged()
 
 
+class TestRestartedVoters:
+    @pytest.mark.parametrize("number", range(5))
+    def test_version_reaches_members_that_the_leader_has_forgotten(
+        self, number
+    ):
+        """Replays a loss of power of all voters, with a change right after.
+
+        Guard: the hints in distribution, and the sync in membership after a
+        ping of an unknown sender.
+        """
+        mesh = fake_mesh.FakeMesh(seed=number)
+        voters = ("v0", "v1", "v2")
+        seeds = tuple(fake_mesh.seed(name) for name in voters)
+        plain = [f"p{count}" for count in range(12)]
+        for name in (*voters, *plain):
+            mesh.add(
+                name,
+                disk=name in voters,
+                seeds=seeds,
+                voters=voters,
+                flat=True,
+            )
+            mesh.nodes[name].start()
+        mesh.run(5)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "a"))
+        mesh.run(2)
+        for name in voters:
+            mesh.nodes[name].crash()
+        mesh.run(2)
+        for name in voters:
+            mesh.nodes[name].start()
+        while mesh.leader() is None:
+            mesh.run(0.05)
+        mesh.submit("v1", fake_mesh.make_catalog(2, "a", "b"))
+        mesh.run(2.0)
+        versions = {
+            name: mesh.nodes[name].state.config.version for name in plain
+        }
+        assert set(versions.values()) == {2}, versions
+
+
 class TestColdStart:
     def test_diskless_node_serves_nothing_before_a_quorum_answers(self):
         mesh = make_two_places()
