--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,6 +18,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node as node_lib
 from monsoonpass.core import reducer
+from monsoonpass.core import timers
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.distribution import distribution
 from monsoonpass.core.keys import ledger
@@ -116,7 +117,7 @@
     for size in sizes:
         memory[size] = _memory_bytes(lambda s=size: _make_node(s)) / 1024
         state = _make_node(size)
-        fired = events.TimerFired(now_s=2.0, entropy=5, timer=events.Probe())
+        fired = events.TimerFired(now_s=2.0, entropy=5, timer=timers.Probe())
         probe[size] = _time_ms(lambda s=state, e=fired: reducer.step(e, s))
         message = member_lib.Ping(
             number=1, version=0, table_digest=0, updates=()
--- /dev/null
+++ b/src/monsoonpass/border/settings_sections.py
@@ -0,0 +1,239 @@
+"""The sections of the settings file, each checked by itself."""
+
+import ipaddress
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
+    ),
+]
+Header = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^[A-Za-z0-9-]*$", to_lower=True)
+]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+_SECRET_MIN_CHARS = 16
+
+
+class HostPort(pydantic.BaseModel):
+    """An IP number and a port, written as "127.0.0.1:8080"."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    host: str
+    port: Port
+
+    @classmethod
+    def parse(cls, text: str) -> "HostPort":
+        """Read an address.
+
+        Args:
+            text: Such as "127.0.0.1:8080" or "[::1]:8080".
+
+        Returns:
+            The address.
+
+        Raises:
+            ValueError: The text is not an IP number and a port.
+        """
+        host, separator, port = text.strip().rpartition(":")
+        if not separator or not port.isdigit():
+            raise ValueError("write an IP number and a port: 127.0.0.1:8080")
+        host = host.strip("[]")
+        ipaddress.ip_address(host)
+        return cls(host=host, port=int(port))
+
+
+class Section(pydantic.BaseModel):
+    """Base of all sections: names that are not known are faults."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+def _parse_address(value: Any) -> Any:
+    return HostPort.parse(value) if isinstance(value, str) else value
+
+
+_Address = Annotated[HostPort, pydantic.BeforeValidator(_parse_address)]
+
+
+class NodeSection(Section):
+    """[node]: who this node is."""
+
+    instance: Name
+    data_centre: Name
+    region: Name
+
+
+def _parse_addresses(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    return tuple(HostPort.parse(text) for text in value.split())
+
+
+_Addresses = Annotated[
+    tuple[HostPort, ...], pydantic.BeforeValidator(_parse_addresses)
+]
+
+
+class ListenSection(Section):
+    """[listen]: where it listens; the peers' port is for TCP and UDP.
+
+    Without callers' addresses, the node passes no calls on.
+    """
+
+    callers: _Addresses = ()
+    operators: _Addresses
+    peers: _Address
+    http2: bool = True
+
+
+class SeedLine(Section):
+    """One line of [mesh] seeds: instance, address, data centre, region.
+
+    With one table for all data centres an address is enough, alone or in a
+    line of several; the instance then bears the name of its IP number.
+    """
+
+    instance: Name
+    address: HostPort
+    data_centre: str = ""
+    region: str = ""
+
+
+def _parse_seeds(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    seeds = []
+    for line in value.splitlines():
+        if not line.strip():
+            continue
+        parts = line.split()
+        if all(":" in part for part in parts):
+            seeds += [_bare_seed(part) for part in parts]
+            continue
+        if len(parts) != 4:
+            raise ValueError(
+                f"seed {line.strip()!r}: write "
+                "'instance address data_centre region'"
+            )
+        seeds.append(
+            SeedLine(
+                instance=parts[0],
+                address=HostPort.parse(parts[1]),
+                data_centre=parts[2],
+                region=parts[3],
+            )
+        )
+    return tuple(seeds)
+
+
+def _bare_seed(text: str) -> SeedLine:
+    address = HostPort.parse(text)
+    return SeedLine(instance=address.host, address=address)
+
+
+def _parse_names(value: Any) -> Any:
+    return tuple(value.split()) if isinstance(value, str) else value
+
+
+class MeshSection(Section):
+    """[mesh]: which mesh it belongs to, and how to find it."""
+
+    name: Name
+    secret: Annotated[
+        pydantic.SecretStr,
+        pydantic.Field(min_length=_SECRET_MIN_CHARS, max_length=256),
+    ]
+    seeds: Annotated[
+        tuple[SeedLine, ...], pydantic.BeforeValidator(_parse_seeds)
+    ] = ()
+    seeds_port: Port = 0
+    flat: bool = False
+
+
+class ControlSection(Section):
+    """[control]: the control group.
+
+    A group that must bear the loss of some disks has twice as many voters
+    and one more. Without named voters, the seeds found it, if allowed to.
+    """
+
+    bootstrap_voters: Annotated[
+        tuple[Name, ...], pydantic.BeforeValidator(_parse_names)
+    ] = ()
+    bootstrap_by_seeds: bool = False
+    losses: Annotated[int, pydantic.Field(ge=0, le=4)] | None = None
+    voter_replace_s: Annotated[float, pydantic.Field(ge=2, le=86400)] = 30.0
+
+
+class DiskSection(Section):
+    """[disk]: the data folder; leave the section out without a disk."""
+
+    folder: pathlib.Path
+
+
+class OperatorsSection(Section):
+    """[operators]: who may submit; without a token, anyone who connects."""
+
+    token: pydantic.SecretStr | None = None
+
+
+class UpstreamSection(Section):
+    """[upstream]: the instance's own upstream.
+
+    With a silence, an upstream repeats its announcement, and one that is
+    not heard for so long is withdrawn.
+    """
+
+    host: str = "127.0.0.1"
+    connections: Annotated[int, pydantic.Field(ge=1, le=10000)] = 120
+    service: str = ""
+    silence_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
+
+
+class RetriesSection(Section):
+    """[retries]: second tries of a service, over all nodes together."""
+
+    ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
+    slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 20.0
+    window_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 10.0
+
+
+class HeadersSection(Section):
+    """[headers]: names of the headers between callers, nodes and upstreams.
+
+    An empty name stands for a header that is not used.
+    """
+
+    timeout_ms: Header = "monsoonpass-timeout-ms"
+    call_id: Header = ""
+    upstream_id: Header = ""
+    not_run: Header = ""
+    caller_service: Header = ""
+    proof: Header = ""
+    retry_after_decimals: Annotated[int, pydantic.Field(ge=0, le=3)] = 0
+
+
+class LimitsSection(Section):
+    """[limits]: bounds of queues and of what callers may ask."""
+
+    queue: Annotated[int, pydantic.Field(ge=0, le=100000)] = 256
+    calls: Annotated[int, pydantic.Field(ge=1, le=100000)] = 2048
+    peer_links: Annotated[int, pydantic.Field(ge=1, le=100000)] = 4096
+    drain_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 30.0
+    kill_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
+    stop_after_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
+
+
+class TelemetrySection(Section):
+    """[telemetry]: logs and traces; empty names write nothing."""
+
+    log_file: str = ""
+    trace_file: str = ""
+    trace_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.01
--- a/src/monsoonpass/core/agreement/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -16,6 +16,7 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import election
 from monsoonpass.core.agreement import follower as _follower
@@ -164,7 +165,7 @@
 
 @step.expire.register
 def _(
-    timer: events.Election, event: events.TimerFired, state: node.Node
+    timer: timers.Election, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     replica = state.control.replica
     if replica is None:
@@ -175,7 +176,7 @@
 
 @step.expire.register
 def _(
-    timer: events.Heartbeat, event: events.TimerFired, state: node.Node
+    timer: timers.Heartbeat, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     replica = state.control.replica
     if replica is None:
@@ -188,7 +189,7 @@
 
 @step.expire.register
 def _(
-    timer: events.GroupUpkeep, event: events.TimerFired, state: node.Node
+    timer: timers.GroupUpkeep, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     return _upkeep(state, event)
 
@@ -268,7 +269,7 @@
 def _upkeep(state: node.Node, event: events.Event) -> list[effects.Effect]:
     control = state.control
     result: list[effects.Effect] = [
-        effects.SetTimer(timer=events.GroupUpkeep(), delay_s=UPKEEP_S)
+        effects.SetTimer(timer=timers.GroupUpkeep(), delay_s=UPKEEP_S)
     ]
     if state.disk_failed:
         return result
--- a/src/monsoonpass/core/agreement/group.py
+++ b/src/monsoonpass/core/agreement/group.py
@@ -6,8 +6,8 @@
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
-from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import replica as replica_lib
 
@@ -47,7 +47,7 @@
                 fields={"term": replica.term},
             )
         )
-        result.append(effects.CancelTimer(timer=events.Heartbeat()))
+        result.append(effects.CancelTimer(timer=timers.Heartbeat()))
         _drop_tokens(replica)
     replica.role = replica_lib.Role.FOLLOWER
     replica.votes.clear()
@@ -74,7 +74,7 @@
         replica_lib.ELECTION_MIN_S, replica_lib.ELECTION_MAX_S
     )
     return effects.SetTimer(
-        timer=events.Election(), delay_s=max(timeout_s - quiet_s, 0.01)
+        timer=timers.Election(), delay_s=max(timeout_s - quiet_s, 0.01)
     )
 
 
--- a/src/monsoonpass/core/agreement/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -20,6 +20,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import disk_queue
+from monsoonpass.core.agreement import progress as progress_lib
 from monsoonpass.core.agreement import replica_log
 
 ELECTION_MIN_S = 0.75
@@ -87,38 +88,6 @@
     """An earlier change of members is not yet committed."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Progress:
-    """What the leader knows of one other member.
-
-    Attributes:
-        match_index: Highest index known to be synced there.
-        next_index: Next index to send.
-        probing: Whether the matching index is still being searched for.
-        in_flight: Last indexes of the batches that are not yet answered.
-        unanswered: Heartbeats sent since the last answer.
-        heard_sent_s: Send time of the newest request that it answered.
-        heard_s: When it last answered.
-    """
-
-    match_index: int = 0
-    next_index: int = 1
-    probing: bool = True
-    in_flight: collections.deque[int] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    unanswered: int = 0
-    heard_sent_s: float = float("-inf")
-    heard_s: float = float("-inf")
-
-    def restart_probe(self) -> None:
-        """Forget what is in flight and search for the match again."""
-        self.probing = True
-        self.in_flight.clear()
-        if self.match_index:
-            self.next_index = self.match_index + 1
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Read:
     """A read that waits for a quorum's word.
@@ -187,7 +156,9 @@
     )
     vote_sequence: int = 0
     votes: set[int] = dataclasses.field(default_factory=set)
-    progress: dict[int, Progress] = dataclasses.field(default_factory=dict)
+    progress: dict[int, progress_lib.Progress] = dataclasses.field(
+        default_factory=dict
+    )
     members_log: list[tuple[int, records.Members]] = dataclasses.field(
         default_factory=list
     )
--- a/src/monsoonpass/core/agreement/replication.py
+++ b/src/monsoonpass/core/agreement/replication.py
@@ -6,16 +6,16 @@
 gets a snapshot, and the leader waits only for a quorum.
 """
 
-import dataclasses
 from typing import Any
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
-from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import group
+from monsoonpass.core.agreement import progress as progress_lib
 from monsoonpass.core.agreement import replica as replica_lib
 
 HEARTBEAT_S = 0.15
@@ -41,8 +41,8 @@
         effects.Log(
             code=logbook.Code.LEADER_ELECTED, fields={"term": replica.term}
         ),
-        effects.CancelTimer(timer=events.Election()),
-        effects.SetTimer(timer=events.Heartbeat(), delay_s=HEARTBEAT_S),
+        effects.CancelTimer(timer=timers.Election()),
+        effects.SetTimer(timer=timers.Heartbeat(), delay_s=HEARTBEAT_S),
     ]
     founding = replica.log.last_index == 0
     return result + propose(
@@ -196,7 +196,7 @@
             progress.restart_probe()
         result += _send_heartbeat(replica, member, now_s)
     result.append(
-        effects.SetTimer(timer=events.Heartbeat(), delay_s=HEARTBEAT_S)
+        effects.SetTimer(timer=timers.Heartbeat(), delay_s=HEARTBEAT_S)
     )
     return result
 
@@ -221,9 +221,9 @@
     progress.heard_sent_s = max(progress.heard_sent_s, message.sent_s)
     progress.unanswered = 0
     if message.success:
-        _count_success(progress, message.match_index)
+        progress.count_success(message.match_index)
     else:
-        _count_rejection(replica, progress, message.match_index)
+        progress.count_rejection(message.match_index, replica.log.last_index)
     result = _advance_commit(replica, now_s)
     if not replica.is_leader:
         return result
@@ -231,33 +231,13 @@
     return result + _finish_reads(replica, now_s)
 
 
-def _count_success(progress: replica_lib.Progress, match_index: int) -> None:
-    progress.match_index = max(progress.match_index, match_index)
-    progress.next_index = max(progress.next_index, progress.match_index + 1)
-    progress.probing = False
-    while progress.in_flight and progress.in_flight[0] <= match_index:
-        progress.in_flight.popleft()
-
-
-def _count_rejection(
-    replica: replica_lib.Replica,
-    progress: replica_lib.Progress,
-    hint_index: int,
-) -> None:
-    progress.restart_probe()
-    progress.next_index = max(
-        progress.match_index + 1,
-        min(hint_index + 1, replica.log.last_index + 1),
-    )
-
-
 def _sync_progress(replica: replica_lib.Replica) -> None:
     """Keep one progress record for each other member."""
     ids = {member.replica_id for member in replica.others}
     for replica_id in set(replica.progress) - ids:
         del replica.progress[replica_id]
     for replica_id in ids - set(replica.progress):
-        replica.progress[replica_id] = replica_lib.Progress(
+        replica.progress[replica_id] = progress_lib.Progress(
             next_index=replica.log.last_index
         )
 
@@ -280,7 +260,7 @@
 def _next_batch(
     replica: replica_lib.Replica,
     member: records.Member,
-    progress: replica_lib.Progress,
+    progress: progress_lib.Progress,
     now_s: float,
 ) -> effects.Send:
     if progress.next_index <= replica.log.base_index:
@@ -408,34 +388,3 @@
             waiting.append(read)
     replica.reads = waiting
     return _send_heartbeats(replica, now_s) if waiting and finished else []
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberProgress:
-    """What the leader reports of one member."""
-
-    replica_id: int
-    instance: str
-    voter: bool
-    match_index: int
-    quiet_s: float
-
-
-def report(replica: replica_lib.Replica, now_s: float) -> list[MemberProgress]:
-    """Return the leader's view of every other member."""
-    result = []
-    for member in replica.others:
-        progress = replica.progress.get(member.replica_id)
-        if progress is None:
-            continue
-        heard_s = max(progress.heard_s, replica.leading_since_s)
-        result.append(
-            MemberProgress(
-                replica_id=member.replica_id,
-                instance=member.address.instance,
-                voter=member.voter,
-                match_index=progress.match_index,
-                quiet_s=now_s - heard_s,
-            )
-        )
-    return result
--- a/src/monsoonpass/core/agreement/upkeep.py
+++ b/src/monsoonpass/core/agreement/upkeep.py
@@ -13,6 +13,7 @@
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import replica as replica_lib
 from monsoonpass.core.agreement import replication
+from monsoonpass.core.agreement import report
 
 CANDIDATE_FRESH_S = 10.0
 LEARNER_FRESH_S = 2.0
@@ -59,9 +60,7 @@
 def next_members(state: node.Node, now_s: float) -> records.Members | None:
     """Return the members after the next change, or None."""
     replica = state.control.replica
-    progress = {
-        item.replica_id: item for item in replication.report(replica, now_s)
-    }
+    progress = {item.replica_id: item for item in report.report(replica, now_s)}
     limit_s = state.settings.voter_replace_s
     emptied = _emptied(state)
     lost = [
@@ -100,7 +99,7 @@
 
 
 def _has_caught_up(
-    replica: replica_lib.Replica, learner: replication.MemberProgress
+    replica: replica_lib.Replica, learner: report.MemberProgress
 ) -> bool:
     lag = replica.log.last_index - learner.match_index
     return learner.quiet_s < LEARNER_FRESH_S and lag <= LEARNER_LAG_ENTRIES
--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -12,11 +12,11 @@
 """
 
 import bisect
-import dataclasses
 import math
 
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import service_times
+from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.membership import member as member_lib
 
 RATE_WINDOW_S = 0.5  # Span over which the rate of short work is counted.
@@ -24,7 +24,6 @@
 RETRY_AFTER_MIN_S = 0.1  # Less than that and a caller meets the same queue.
 RETRY_AFTER_MAX_S = 2.0  # A wave of load is over by then.
 REROUTE_WAIT_SHARE = 0.1  # Part of a service time that a hop elsewhere costs.
-LATE_SHARE = 0.25  # Part of the time past the objective that work may wait.
 SHED_FACTOR = 0.8  # Slots left after the upstream shed load.
 PROVED_S = 2.0  # Time for which a number of calls at once counts as proved.
 SHED_FLOOR = 0.25  # Part of the slots that are used however much it sheds.
@@ -32,77 +31,6 @@
 SLOW_START_SHARE = 0.25
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Work:
-    """One call that wants a slot.
-
-    Attributes:
-        work_id: The call's number at this node.
-        priority: Order of admission, lowest first.
-        deadline_s: When its answer must be complete.
-        bulk: Whether its route is declared bulk.
-        route: Name of the route, for the learned service time.
-        arrived_s: When it arrived.
-        reroutable: Whether another instance may serve it sooner.
-        idempotent: Whether it may be sent to an upstream again.
-        dispatched_s: When it got a slot; infinite before.
-        is_long: Its class when it got a slot.
-        best_before_s: When its answer is worth most; infinite if always.
-        beside: Calls in progress when it got a slot, itself included.
-    """
-
-    work_id: int
-    priority: int
-    deadline_s: float
-    bulk: bool
-    route: str
-    arrived_s: float
-    reroutable: bool = False
-    idempotent: bool = True
-    dispatched_s: float = math.inf
-    is_long: bool = False
-    best_before_s: float = math.inf
-    beside: int = 0
-
-    @property
-    def latest_s(self) -> float:
-        """When its answer must be complete to be worth the wait.
-
-        Work that was overtaken until its objective passed would take the
-        slot of work that can still meet one.
-        """
-        if self.best_before_s >= self.deadline_s:
-            return self.deadline_s
-        spare_s = self.deadline_s - self.best_before_s
-        return self.best_before_s + LATE_SHARE * spare_s
-
-    @property
-    def order(self) -> tuple[int, float, int]:
-        """Place in the queue: priority, then earliest deadline."""
-        return (self.priority, self.deadline_s, self.work_id)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refused:
-    """Work that is refused and will never be dispatched."""
-
-    work: Work
-    failure: outcome.Failure
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Decision:
-    """What admission decided.
-
-    Attributes:
-        dispatch: Work that gets a slot now.
-        refused: Work that is refused now.
-    """
-
-    dispatch: list[Work] = dataclasses.field(default_factory=list)
-    refused: list[Refused] = dataclasses.field(default_factory=list)
-
-
 class Admission:
     """Slots and queue of the own upstream.
 
@@ -120,11 +48,11 @@
         self.service = ""
         self.slots = 0
         self.upstream = member_lib.UpstreamState.NONE
-        self.in_progress: dict[int, Work] = {}
+        self.in_progress: dict[int, work_lib.Work] = {}
         self.queue_limit = queue_limit
         self.unreachable_count = 0
         self.withdrawals = 0
-        self._queue: list[tuple[tuple[int, float, int], Work]] = []
+        self._queue: list[tuple[tuple[int, float, int], work_lib.Work]] = []
         self._times = service_times.ServiceTimes()
         self._short_rate = 0.0
         self._times.short_seen = 0
@@ -209,7 +137,7 @@
             and len(self.in_progress) < self._usable_slots(now_s)
         )
 
-    def offer(self, work: Work, now_s: float) -> Decision:
+    def offer(self, work: work_lib.Work, now_s: float) -> work_lib.Decision:
         """Dispatch, queue or refuse new work.
 
         Args:
@@ -219,7 +147,7 @@
         Returns:
             The decision; work named in neither list waits in the queue.
         """
-        decision = Decision()
+        decision = work_lib.Decision()
         if not self.accepts:
             reason = outcome.Reason.DRAINING
             if self.upstream is member_lib.UpstreamState.NONE:
@@ -255,7 +183,7 @@
         ok: bool,
         now_s: float,
         shed: bool = False,
-    ) -> Decision:
+    ) -> work_lib.Decision:
         """Free a slot, learn the service time and dispatch what waits.
 
         Args:
@@ -268,7 +196,7 @@
         Returns:
             What is dispatched, and refused, now.
         """
-        decision = Decision()
+        decision = work_lib.Decision()
         work = self.in_progress.pop(work_id, None)
         if shed:
             self._shrink(now_s)
@@ -295,15 +223,15 @@
                 return True
         return False
 
-    def expire(self, now_s: float) -> Decision:
+    def expire(self, now_s: float) -> work_lib.Decision:
         """Refuse waiting work that can no longer meet its deadline."""
-        decision = Decision()
+        decision = work_lib.Decision()
         self._drop_late(decision, now_s)
         return decision
 
-    def refuse_all(self, reason: outcome.Reason) -> Decision:
+    def refuse_all(self, reason: outcome.Reason) -> work_lib.Decision:
         """Refuse all work that waits."""
-        decision = Decision()
+        decision = work_lib.Decision()
         for _, work in self._queue:
             decision.refused.append(_refuse(work, reason, None))
         self._queue.clear()
@@ -316,7 +244,7 @@
             default=math.inf,
         )
 
-    def expected_wait_s(self, work: Work, now_s: float) -> float:
+    def expected_wait_s(self, work: work_lib.Work, now_s: float) -> float:
         """Estimate how long new work would wait for a slot."""
         slots = max(self._usable_slots(now_s), 1)
         ahead = bisect.bisect_left(
@@ -327,11 +255,11 @@
             return 0.0
         return (ahead - free + 1) * self._times.mean_s / slots
 
-    def is_long(self, work: Work) -> bool:
+    def is_long(self, work: work_lib.Work) -> bool:
         """Return whether work belongs to the long class."""
         return self._times.is_long(work.route, unknown=work.bulk)
 
-    def _prove(self, work: Work, now_s: float) -> None:
+    def _prove(self, work: work_lib.Work, now_s: float) -> None:
         """Note how many calls the upstream was seen to run at once."""
         is_old = now_s - self._proved_s > PROVED_S
         if is_old or work.beside >= self._proved_slots:
@@ -370,7 +298,7 @@
         expected = self._short_rate * self._times.short_s * RESERVE_MARGIN
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
-    def _fill_slots(self, decision: Decision, now_s: float) -> None:
+    def _fill_slots(self, decision: work_lib.Decision, now_s: float) -> None:
         self._drop_late(decision, now_s)
         usable = self._usable_slots(now_s)
         long_room = usable - self._reserved_for_short()
@@ -391,7 +319,7 @@
             work.beside = len(self.in_progress)
             decision.dispatch.append(work)
 
-    def _holds_long(self, work: Work, now_s: float) -> bool:
+    def _holds_long(self, work: work_lib.Work, now_s: float) -> bool:
         """Return whether running work counts as long.
 
         A call of a short route that straggles counts too.
@@ -401,7 +329,7 @@
         )
         return work.is_long or now_s - work.dispatched_s > limit_s
 
-    def _drop_late(self, decision: Decision, now_s: float) -> None:
+    def _drop_late(self, decision: work_lib.Decision, now_s: float) -> None:
         kept = []
         for item in self._queue:
             work = item[1]
@@ -413,10 +341,10 @@
                 kept.append(item)
         self._queue = kept
 
-    def _expected_s(self, work: Work) -> float:
+    def _expected_s(self, work: work_lib.Work) -> float:
         return self._times.expected_s(work.route)
 
-    def _count_arrival(self, work: Work, now_s: float) -> None:
+    def _count_arrival(self, work: work_lib.Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
         if elapsed_s >= RATE_WINDOW_S:
             rate = self._times.short_seen / elapsed_s
@@ -428,8 +356,8 @@
 
 
 def _refuse(
-    work: Work, reason: outcome.Reason, wait_s: float | None
-) -> Refused:
+    work: work_lib.Work, reason: outcome.Reason, wait_s: float | None
+) -> work_lib.Refused:
     retry_after_s = None
     if wait_s is not None:
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
@@ -438,4 +366,4 @@
         reason=reason,
         retry_after_s=retry_after_s,
     )
-    return Refused(work=work, failure=failure)
+    return work_lib.Refused(work=work, failure=failure)
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -12,11 +12,12 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core.calls import admission
+from monsoonpass.core import timers
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import routing
 from monsoonpass.core.calls import routing_table
+from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import directory
 
@@ -35,14 +36,14 @@
 
 @step.expire.register
 def _(
-    timer: events.ParkTimeout, event: events.TimerFired, state: node.Node
+    timer: timers.ParkTimeout, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     return unparked(state, event, timer.service)
 
 
 @step.expire.register
 def _(
-    timer: events.Hedge, event: events.TimerFired, state: node.Node
+    timer: timers.Hedge, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     """Send a slow idempotent call to a second instance as well."""
     call = state.calls.get(timer.call_id)
@@ -66,14 +67,14 @@
 
 @step.expire.register
 def _(
-    timer: events.QueueDeadline, event: events.TimerFired, state: node.Node
+    timer: timers.QueueDeadline, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     decision = state.admission.expire(event.now_s)
     return perform(state, event, decision)
 
 
 def perform(
-    state: node.Node, event: events.Event, decision: admission.Decision
+    state: node.Node, event: events.Event, decision: work_lib.Decision
 ) -> list[effects.Effect]:
     """Turn a decision of admission into effects.
 
@@ -121,7 +122,7 @@
     if not parked:
         return []
     result: list[effects.Effect] = [
-        effects.CancelTimer(timer=events.ParkTimeout(service=service))
+        effects.CancelTimer(timer=timers.ParkTimeout(service=service))
     ]
     for call_id in parked:
         call = state.calls.get(call_id)
@@ -154,7 +155,7 @@
     if not may_park or call.tried or informed:
         return refuse(state, event, call.call_id, failure)
     state.routing.parked.setdefault(call.service, []).append(call.call_id)
-    timer = events.ParkTimeout(service=call.service)
+    timer = timers.ParkTimeout(service=call.service)
     return [
         effects.SetTimer(timer=timer, delay_s=PARK_S),
         *directory.ask(state, event, call.service),
@@ -173,7 +174,7 @@
         instance=choice.instance, started_s=event.now_s
     )
     if choice.instance == state.settings.address.instance:
-        work = admission.Work(
+        work = work_lib.Work(
             work_id=call.call_id,
             priority=call.route.priority,
             deadline_s=call.deadline_s,
@@ -211,7 +212,7 @@
     if median.count < HEDGE_MIN_SAMPLES or call.call_id not in state.calls:
         return []
     delay_s = max(median.value_s * HEDGE_FACTOR, HEDGE_MIN_S)
-    timer = events.Hedge(call_id=call.call_id)
+    timer = timers.Hedge(call_id=call.call_id)
     return [effects.SetTimer(timer=timer, delay_s=delay_s)]
 
 
@@ -376,10 +377,10 @@
 def forget_timers(call: call_lib.Call) -> list[effects.Effect]:
     """Return the effects that cancel the timers of a call."""
     result: list[effects.Effect] = [
-        effects.CancelTimer(timer=events.CallDeadline(call_id=call.call_id))
+        effects.CancelTimer(timer=timers.CallDeadline(call_id=call.call_id))
     ]
     if call.route.idempotent and not call.route.bulk:
-        timer = events.Hedge(call_id=call.call_id)
+        timer = timers.Hedge(call_id=call.call_id)
         result.append(effects.CancelTimer(timer=timer))
     return result
 
@@ -389,4 +390,4 @@
     if not state.admission.queued:
         return []
     delay_s = max(state.admission.next_expiry_s() - event.now_s, 0.001)
-    return [effects.SetTimer(timer=events.QueueDeadline(), delay_s=delay_s)]
+    return [effects.SetTimer(timer=timers.QueueDeadline(), delay_s=delay_s)]
--- a/src/monsoonpass/core/calls/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -10,11 +10,12 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core.calls import admission
+from monsoonpass.core import timers
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import shares
+from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.keys import ledger
 from monsoonpass.core.membership import directory
@@ -56,7 +57,7 @@
     )
     state.calls[event.call_id] = call
     attempts.budget(state, service).deposit()
-    timer = events.CallDeadline(call_id=event.call_id)
+    timer = timers.CallDeadline(call_id=event.call_id)
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=limit_s),
         *directory.want(state, event, service),
@@ -98,7 +99,7 @@
 
 @step.expire.register
 def _(
-    timer: events.ClaimRetry, event: events.TimerFired, state: node.Node
+    timer: timers.ClaimRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     result = keyed_calls.retry(state, event, timer.call_id)
     if isinstance(result, keyed_calls.Denied):
@@ -217,7 +218,7 @@
     deadline_s = event.now_s + event.timeout_s
     if state.stopping:
         deadline_s = min(deadline_s, state.stop_at_s)
-    work = admission.Work(
+    work = work_lib.Work(
         work_id=event.work_id,
         priority=event.priority,
         deadline_s=deadline_s,
@@ -257,7 +258,7 @@
 
 @step.expire.register
 def _(
-    timer: events.CallDeadline, event: events.TimerFired, state: node.Node
+    timer: timers.CallDeadline, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     call = state.calls.get(timer.call_id)
     if call is None:
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -12,9 +12,10 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import voters as voters_lib
+from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.distribution import config_messages as messages
-from monsoonpass.core.distribution import distribution
 from monsoonpass.core.distribution import newest
 from monsoonpass.core.distribution import submission
 
@@ -48,16 +49,16 @@
             )
         )
     if config.ready:
-        result.append(effects.CancelTimer(timer=events.ColdStartRetry()))
+        result.append(effects.CancelTimer(timer=timers.ColdStartRetry()))
     if message.version > config.newest.version:
         source = _source(state, event)
-        result += distribution.fetch(state, source, message.version)
+        result += catch_up.fetch(state, source, message.version)
     return result
 
 
 @step.expire.register
 def _(
-    timer: events.ColdStartRetry, event: events.TimerFired, state: node.Node
+    timer: timers.ColdStartRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     return begin(state, event)
 
@@ -71,7 +72,7 @@
     )
     draws = entropy_lib.Entropy(bits=event.entropy)
     retry = effects.SetTimer(
-        timer=events.ColdStartRetry(),
+        timer=timers.ColdStartRetry(),
         delay_s=draws.uniform(0.5 * COLD_RETRY_S, ceiling_s),
     )
     own = state.settings.address
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 
-from monsoonpass import codec
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
@@ -18,13 +17,14 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.distribution import config_messages as messages
 from monsoonpass.core.membership import member_table
 
 FAN_OUT = 8
 HISTORY_MAX = 256
-FETCH_TIMEOUT_S = 0.4  # A lost answer must not cost most of a second.
 HINT_DELAY_S = 0.1  # Longer than a push takes; one hint for a storm.
 HINT_FAN_OUT = 4  # Twice as many as an epidemic needs to reach everyone.
 PUSH_RETRY_S = 0.4
@@ -105,18 +105,6 @@
     return result
 
 
-def heard_version(
-    state: node.Node, event: events.PeerMessage, version: int
-) -> list[effects.Effect]:
-    """Fetch from a peer that has a newer version, one fetch at a time."""
-    config = state.config
-    if version <= config.newest.version or not config.ready:
-        return []
-    if config.fetching and config.fetch_version >= version:
-        return []
-    return fetch(state, event.sender, version)
-
-
 @step.receive.register
 def _(
     message: messages.Push, event: events.PeerMessage, state: node.Node
@@ -140,7 +128,7 @@
     base = (config.newest.version, config.newest.digest)
     if (delta.base_version, delta.base_digest) == base:
         return result + _apply(state, event, delta)
-    return result + heard_version(state, event, delta.version)
+    return result + catch_up.heard_version(state, event, delta.version)
 
 
 @step.receive.register
@@ -151,13 +139,13 @@
     if pending is None or message.version < pending.delta.version:
         return []
     del state.config.pushes[message.data_centre]
-    timer = events.PushRetry(data_centre=message.data_centre)
+    timer = timers.PushRetry(data_centre=message.data_centre)
     return [effects.CancelTimer(timer=timer)]
 
 
 @step.expire.register
 def _(
-    timer: events.PushRetry, event: events.TimerFired, state: node.Node
+    timer: timers.PushRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     pending = state.config.pushes.pop(timer.data_centre, None)
     replica = state.control.replica
@@ -175,14 +163,6 @@
     )
 
 
-@step.receive.register
-def _(
-    message: messages.Fetch, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
-    reply = _newer_than(state.config, message)
-    return [effects.Send(to=event.sender, message=reply)]
-
-
 @step.receive.register
 def _(
     message: messages.FetchReply, event: events.PeerMessage, state: node.Node
@@ -206,14 +186,6 @@
     return result
 
 
-@step.expire.register
-def _(
-    timer: events.FetchRetry, event: events.TimerFired, state: node.Node
-) -> list[effects.Effect]:
-    state.config.fetching = ""
-    return []
-
-
 def children(
     state: node.Node, root: str, version: int
 ) -> list[address_lib.Address]:
@@ -313,14 +285,14 @@
     ]
     if not config.hint_set:
         config.hint_set = True
-        timer = effects.SetTimer(timer=events.HintDue(), delay_s=HINT_DELAY_S)
+        timer = effects.SetTimer(timer=timers.HintDue(), delay_s=HINT_DELAY_S)
         result.append(timer)
     return result
 
 
 @step.expire.register
 def _(
-    timer: events.HintDue, event: events.TimerFired, state: node.Node
+    timer: timers.HintDue, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     """Tell random members of the version, for what the tree has missed.
 
@@ -345,57 +317,7 @@
 def _(
     message: messages.VersionHint, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
-    return heard_version(state, event, message.version)
-
-
-def _newer_than(
-    config: node.Config, request: messages.Fetch
-) -> messages.FetchReply:
-    """Return what a peer lacks, in the form that has fewer bytes."""
-    if request.version >= config.version:
-        return messages.FetchReply(
-            version=config.version, deltas=(), snapshot=None
-        )
-    snapshot = config.catalog.snapshot()
-    chain = _chain_from(config, request)
-    if chain and _size(chain) < len(codec.digest_form(snapshot)):
-        return messages.FetchReply(
-            version=config.version, deltas=chain, snapshot=None
-        )
-    return messages.FetchReply(
-        version=config.version, deltas=(), snapshot=snapshot
-    )
-
-
-def _chain_from(
-    config: node.Config, request: messages.Fetch
-) -> tuple[catalog_lib.Delta, ...]:
-    """Return the deltas from exactly the peer's content, or none."""
-    history = list(config.history)
-    for position, delta in enumerate(history):
-        base = (delta.base_version, delta.base_digest)
-        if base == (request.version, request.digest):
-            return tuple(history[position:])
-    return ()
-
-
-def _size(chain: tuple[catalog_lib.Delta, ...]) -> int:
-    return sum(len(codec.digest_form(delta)) for delta in chain)
-
-
-def fetch(
-    state: node.Node, to: address_lib.Address, version: int
-) -> list[effects.Effect]:
-    """Ask a peer for what is newer than the own version."""
-    config = state.config
-    config.fetching = to.instance
-    config.fetch_version = max(version, config.fetch_version)
-    newest = config.newest
-    fetch = messages.Fetch(version=newest.version, digest=newest.digest)
-    return [
-        effects.Send(to=to, message=fetch),
-        effects.SetTimer(timer=events.FetchRetry(), delay_s=FETCH_TIMEOUT_S),
-    ]
+    return catch_up.heard_version(state, event, message.version)
 
 
 def _data_centres(state: node.Node) -> list[str]:
@@ -431,7 +353,7 @@
     return [
         effects.Send(to=to, message=push),
         effects.SetTimer(
-            timer=events.PushRetry(data_centre=data_centre),
+            timer=timers.PushRetry(data_centre=data_centre),
             delay_s=PUSH_RETRY_S,
         ),
     ]
--- a/src/monsoonpass/core/distribution/newest.py
+++ b/src/monsoonpass/core/distribution/newest.py
@@ -12,6 +12,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import voters
 from monsoonpass.core.distribution import config_messages as messages
 
@@ -51,7 +52,7 @@
 
 @step.expire.register
 def _(
-    timer: events.NewestRetry, event: events.TimerFired, state: node.Node
+    timer: timers.NewestRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     pending = state.control.newest_reads.get(timer.request_id)
     if pending is None:
@@ -105,7 +106,7 @@
 ) -> list[effects.Effect]:
     pending = state.control.newest_reads[request_id]
     pending.tries += 1
-    timer = events.NewestRetry(request_id=request_id)
+    timer = timers.NewestRetry(request_id=request_id)
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=RETRY_S)
     ]
@@ -134,6 +135,6 @@
 ) -> list[effects.Effect]:
     del state.control.newest_reads[request_id]
     return [
-        effects.CancelTimer(timer=events.NewestRetry(request_id=request_id)),
+        effects.CancelTimer(timer=timers.NewestRetry(request_id=request_id)),
         effects.Reply(request_id=request_id, result=result),
     ]
--- a/src/monsoonpass/core/distribution/submission.py
+++ b/src/monsoonpass/core/distribution/submission.py
@@ -10,6 +10,7 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import control_machine
 from monsoonpass.core.agreement import replica as replica_lib
@@ -81,7 +82,7 @@
 
 @step.expire.register
 def _(
-    timer: events.SubmitRetry, event: events.TimerFired, state: node.Node
+    timer: timers.SubmitRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     return _advance(state, event, timer.request_id)
 
@@ -191,7 +192,7 @@
         )
         return _finish(state, _reply(state, request_id, status))
     retry = effects.SetTimer(
-        timer=events.SubmitRetry(request_id=request_id), delay_s=RETRY_S
+        timer=timers.SubmitRetry(request_id=request_id), delay_s=RETRY_S
     )
     if event.now_s - pending.last_forward_s < FORWARD_TIMEOUT_S:
         return [retry]
@@ -320,7 +321,7 @@
     del state.control.submissions[reply.request_id]
     result: list[effects.Effect] = [
         effects.CancelTimer(
-            timer=events.SubmitRetry(request_id=reply.request_id)
+            timer=timers.SubmitRetry(request_id=reply.request_id)
         ),
         effects.Reply(request_id=reply.request_id, result=reply),
     ]
--- a/src/monsoonpass/core/distribution/survey.py
+++ b/src/monsoonpass/core/distribution/survey.py
@@ -14,6 +14,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import voters as voters_lib
 
 LOCAL_TIMEOUT_S = 0.4
@@ -128,14 +129,14 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LocalTimeout(events.Timer):
+class LocalTimeout(timers.Timer):
     """The members had time to answer."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TotalTimeout(events.Timer):
+class TotalTimeout(timers.Timer):
     """The data centres had time to answer."""
 
     number: int
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from monsoonpass.core import address
-from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core import timers
 from monsoonpass.core.calls import outcome
 
 
@@ -50,7 +50,7 @@
 class SetTimer(Effect):
     """Fire a timer after a delay; an equal timer already set is replaced."""
 
-    timer: events.Timer
+    timer: timers.Timer
     delay_s: float
 
 
@@ -58,7 +58,7 @@
 class CancelTimer(Effect):
     """Forget a timer."""
 
-    timer: events.Timer
+    timer: timers.Timer
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/keys/keyed_calls.py
+++ b/src/monsoonpass/core/keys/keyed_calls.py
@@ -13,6 +13,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import consensus_records as records
 from monsoonpass.core.agreement import replica as replica_lib
 from monsoonpass.core.agreement import replication
@@ -270,7 +271,7 @@
         return []
     if state.keyed_calls.pop(message.call_id, None) is None:
         return []
-    timer = events.ClaimRetry(call_id=message.call_id)
+    timer = timers.ClaimRetry(call_id=message.call_id)
     return [effects.CancelTimer(timer=timer)]
 
 
@@ -312,7 +313,7 @@
     keyed = state.keyed_calls[call_id]
     result: list[effects.Effect] = [
         effects.SetTimer(
-            timer=events.ClaimRetry(call_id=call_id), delay_s=RETRY_S
+            timer=timers.ClaimRetry(call_id=call_id), delay_s=RETRY_S
         )
     ]
     to = _leader_or_voter(state, event, keyed.asks)
--- a/src/monsoonpass/core/membership/directory.py
+++ b/src/monsoonpass/core/membership/directory.py
@@ -16,8 +16,9 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.calls import routing
-from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import member_table
 
@@ -102,7 +103,7 @@
         return []
     draws = entropy_lib.Entropy(bits=event.entropy)
     delay_s = draws.uniform(0.05, 0.3)
-    return [effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)]
+    return [effects.SetTimer(timer=timers.Exchange(), delay_s=delay_s)]
 
 
 def relays(state: node.Node, salt: str) -> list[address_lib.Address]:
@@ -167,12 +168,12 @@
 
 @step.expire.register
 def _(
-    timer: events.Exchange, event: events.TimerFired, state: node.Node
+    timer: timers.Exchange, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     draws = entropy_lib.Entropy(bits=event.entropy)
     delay_s = draws.uniform(0.75 * EXCHANGE_S, 1.25 * EXCHANGE_S)
     result: list[effects.Effect] = [
-        effects.SetTimer(timer=events.Exchange(), delay_s=delay_s)
+        effects.SetTimer(timer=timers.Exchange(), delay_s=delay_s)
     ]
     _forget_unwanted(state, event.now_s)
     if not is_relay(state, "relay") and state.control.replica is None:
@@ -202,7 +203,7 @@
     if message.wants_reply:
         reply = _greeting(state, message.sent_s, wants_reply=False)
         result.append(effects.Send(to=event.sender, message=reply))
-    return result + distribution.heard_version(state, event, message.version)
+    return result + catch_up.heard_version(state, event, message.version)
 
 
 @step.receive.register
--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -13,6 +13,7 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.membership import member as member_lib
 
 GOSSIP_DELAY_S = 0.05
@@ -51,7 +52,7 @@
 
 @step.expire.register
 def _(
-    timer: events.Gossip, event: events.TimerFired, state: node.Node
+    timer: timers.Gossip, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     state.membership.gossip_set = False
     return _gossip(state, event)
@@ -85,7 +86,7 @@
         result += _spread(state, update)
         result += _log_change(known, update)
         if update.state is member_lib.MemberState.SUSPECT:
-            timer = events.Suspicion(
+            timer = timers.Suspicion(
                 instance=update.instance, incarnation=update.incarnation
             )
             result.append(effects.SetTimer(timer=timer, delay_s=SUSPICION_S))
@@ -138,7 +139,7 @@
     if membership.gossip_set:
         return []
     membership.gossip_set = True
-    return [effects.SetTimer(timer=events.Gossip(), delay_s=GOSSIP_DELAY_S)]
+    return [effects.SetTimer(timer=timers.Gossip(), delay_s=GOSSIP_DELAY_S)]
 
 
 def _gossip(state: node.Node, event: events.Event) -> list[effects.Effect]:
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -16,7 +16,8 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
-from monsoonpass.core.distribution import distribution
+from monsoonpass.core import timers
+from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
 
@@ -63,24 +64,24 @@
     return [
         *_join(state, event),
         effects.SetTimer(
-            timer=events.Probe(), delay_s=jitter.uniform(0.2, PROBE_PERIOD_S)
+            timer=timers.Probe(), delay_s=jitter.uniform(0.2, PROBE_PERIOD_S)
         ),
     ]
 
 
 @step.expire.register
 def _(
-    timer: events.Join, event: events.TimerFired, state: node.Node
+    timer: timers.Join, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     return _join(state, event)
 
 
 @step.expire.register
 def _(
-    timer: events.Probe, event: events.TimerFired, state: node.Node
+    timer: timers.Probe, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     result: list[effects.Effect] = [
-        effects.SetTimer(timer=events.Probe(), delay_s=PROBE_PERIOD_S)
+        effects.SetTimer(timer=timers.Probe(), delay_s=PROBE_PERIOD_S)
     ]
     state.membership.table.purge(event.now_s)
     result += _contact_lost(state, event)
@@ -92,7 +93,7 @@
 
 @step.expire.register
 def _(
-    timer: events.ProbeTimeout, event: events.TimerFired, state: node.Node
+    timer: timers.ProbeTimeout, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     membership = state.membership
     pending = membership.probes.get(timer.number)
@@ -122,7 +123,7 @@
 
 @step.expire.register
 def _(
-    timer: events.Suspicion, event: events.TimerFired, state: node.Node
+    timer: timers.Suspicion, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     membership = state.membership
     member = membership.table.get(timer.instance)
@@ -165,7 +166,7 @@
     result = gossip.merge(state, event, message.updates)
     pending = state.membership.probes.pop(message.number, None)
     if pending is not None:
-        timer = events.ProbeTimeout(number=message.number)
+        timer = timers.ProbeTimeout(number=message.number)
         result.append(effects.CancelTimer(timer=timer))
         if pending.relay_for is not None:
             asker, number = pending.relay_for
@@ -232,7 +233,7 @@
         return []
     draws = entropy_lib.Entropy(bits=event.entropy)
     retry = effects.SetTimer(
-        timer=events.Join(),
+        timer=timers.Join(),
         delay_s=draws.uniform(0.5 * JOIN_RETRY_S, 1.5 * JOIN_RETRY_S),
     )
     return [_sync_request(state, draws.choice(seeds)), retry]
@@ -314,7 +315,7 @@
     return [
         effects.SendDatagram(to=pending.target, message=ping),
         effects.SetTimer(
-            timer=events.ProbeTimeout(number=number), delay_s=PROBE_TIMEOUT_S
+            timer=timers.ProbeTimeout(number=number), delay_s=PROBE_TIMEOUT_S
         ),
     ]
 
@@ -337,7 +338,7 @@
 ) -> list[effects.Effect]:
     """Compare the sender's version and table with the own ones."""
     membership = state.membership
-    result = distribution.heard_version(state, event, version)
+    result = catch_up.heard_version(state, event, version)
     if table_digest == membership.table.digest:
         membership.mismatches = 0
         return result
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -12,6 +12,7 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step
+from monsoonpass.core import timers
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.membership import gossip
@@ -63,7 +64,7 @@
 
 @step.expire.register
 def _(
-    timer: events.UpstreamSilence, event: events.TimerFired, state: node.Node
+    timer: timers.UpstreamSilence, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     """Withdraw an upstream that neither announces itself nor answers."""
     limit_s = state.settings.silence_s
@@ -113,7 +114,7 @@
     known.port = event.port
     known.heard_s = event.now_s
     if state.settings.silence_s:
-        timer = events.UpstreamSilence()
+        timer = timers.UpstreamSilence()
         delay_s = state.settings.silence_s
         result.append(effects.SetTimer(timer=timer, delay_s=delay_s))
     if event.draining:
@@ -202,7 +203,7 @@
     own.withdrawals += 1
     delay_s = min(RECHECK_S * 2**own.withdrawals, RECHECK_MAX_S)
     return [
-        effects.SetTimer(timer=events.UpstreamRecheck(), delay_s=delay_s),
+        effects.SetTimer(timer=timers.UpstreamRecheck(), delay_s=delay_s),
         *_withdraw(state, event, Reason.UPSTREAM_UNREACHABLE),
     ]
 
@@ -225,7 +226,7 @@
 
 @step.expire.register
 def _(
-    timer: events.UpstreamRecheck, event: events.TimerFired, state: node.Node
+    timer: timers.UpstreamRecheck, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     """Offer a withdrawn upstream again."""
     own = state.admission
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -10,6 +10,7 @@
 from monsoonpass.core import logbook
 from monsoonpass.core import node
 from monsoonpass.core import step as step_lib
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import control
 from monsoonpass.core.agreement import replication
 from monsoonpass.core.calls import attempts
@@ -77,7 +78,7 @@
     return [
         effects.Log(code=logbook.Code.NODE_STOPPING),
         *_leave(state, event),
-        effects.SetTimer(timer=events.DrainCheck(), delay_s=DRAIN_CHECK_S),
+        effects.SetTimer(timer=timers.DrainCheck(), delay_s=DRAIN_CHECK_S),
     ]
 
 
@@ -93,12 +94,12 @@
     if not state.settings.stop_after_s:
         return own_upstream.drain(state, event)
     delay_s = max(state.settings.stop_after_s - PEERS_DRAIN_S, 0.0)
-    return [effects.SetTimer(timer=events.LeavePeers(), delay_s=delay_s)]
+    return [effects.SetTimer(timer=timers.LeavePeers(), delay_s=delay_s)]
 
 
 @step_lib.expire.register
 def _(
-    timer: events.LeavePeers, event: events.TimerFired, state: node.Node
+    timer: timers.LeavePeers, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     draining = member_lib.UpstreamState.DRAINING
     return [
@@ -109,7 +110,7 @@
 
 @step_lib.expire.register
 def _(
-    timer: events.DrainCheck, event: events.TimerFired, state: node.Node
+    timer: timers.DrainCheck, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     idle = state.admission.is_idle and not state.calls
     idle = idle and not state.keyed_calls
--- a/src/monsoonpass/core/step.py
+++ b/src/monsoonpass/core/step.py
@@ -10,6 +10,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import node
+from monsoonpass.core import timers
 
 
 @functools.singledispatch
@@ -36,7 +37,7 @@
 
 @functools.singledispatch
 def expire(
-    timer: events.Timer, event: events.TimerFired, state: node.Node
+    timer: timers.Timer, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
     """Apply a timer that fired, dispatched on the timer's type."""
     raise TypeError(f"no handler for timer {type(timer).__name__}")
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -9,6 +9,7 @@
 from monsoonpass import errors
 from monsoonpass.border import journal as journal_lib
 from monsoonpass.border import settings as settings_lib
+from monsoonpass.border import settings_sections
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
@@ -222,7 +223,7 @@
             group.start_soon(self._serve, address, self._api.app)
 
     async def _serve(
-        self, listen: settings_lib.HostPort, app: http_server.App
+        self, listen: settings_sections.HostPort, app: http_server.App
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
@@ -233,7 +234,7 @@
         await server.serve(listen.host, listen.port)
 
     async def _serve_http2(
-        self, listen: settings_lib.HostPort, app: http_server.App
+        self, listen: settings_sections.HostPort, app: http_server.App
     ) -> None:
         """Serve HTTP/1.1 and HTTP/2, by hypercorn."""
         import hypercorn
--- a/src/monsoonpass/runtime/front.py
+++ b/src/monsoonpass/runtime/front.py
@@ -19,6 +19,7 @@
 from monsoonpass.runtime import caller_http
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import exchange as exchange_lib
+from monsoonpass.runtime import local_sink
 from monsoonpass.runtime import logs
 from monsoonpass.runtime import mesh as mesh_lib
 from monsoonpass.runtime import metrics as metrics_lib
@@ -32,64 +33,6 @@
 Receive = exchange_lib.Receive
 
 
-class LocalSink:
-    """Passes the own upstream's answer straight to the caller."""
-
-    def __init__(
-        self,
-        *,
-        front: "Front",
-        exchange: exchange_lib.Exchange,
-        pipe: body_lib.Pipe,
-    ):
-        self._front = front
-        self._exchange = exchange
-        self._pipe = pipe
-        self._credit = body_lib.Credit(size_bytes=body_lib.WINDOW_BYTES)
-        self._fed = False
-
-    def request_credit(self, size_bytes: int) -> None:
-        """Take more of the request's body from the caller."""
-        self._front.feed_body(self._exchange, self._pipe, size_bytes)
-
-    async def whole(
-        self, status: int, headers: Any, body: bytes, digest: bytes
-    ) -> None:
-        """Pass on a whole answer."""
-        self._exchange.put(
-            exchange_lib.Part(
-                status=status, headers=headers, body=body, ended=True
-            )
-        )
-
-    async def head(self, status: int, headers: Any, body: bytes) -> None:
-        """Begin an answer whose body follows in chunks."""
-        self._front.begin_local_answer(self._exchange)
-        await self._credit.take(len(body))
-        self._exchange.put(
-            exchange_lib.Part(
-                status=status,
-                headers=headers,
-                body=body,
-                credit=self._credit.grant,
-            )
-        )
-
-    async def chunk(self, body: bytes) -> None:
-        """Pass on a chunk once the caller has taken enough."""
-        await self._credit.take(len(body))
-        self._exchange.put(
-            exchange_lib.Part(body=body, credit=self._credit.grant)
-        )
-
-    async def end(self, digest: bytes) -> None:
-        """End an answer that was begun with `head`."""
-        self._exchange.put(exchange_lib.Part(ended=True))
-
-    def fail(self, failure: outcome.Failure) -> None:
-        """Do nothing: the reducer decides what the caller is told."""
-
-
 class Front:
     """Takes callers' requests and gives them their answers."""
 
@@ -314,7 +257,7 @@
             first=exchange.first,
             ended=exchange.ended,
             pipe=pipe,
-            sink=LocalSink(front=self, exchange=exchange, pipe=pipe),
+            sink=local_sink.LocalSink(front=self, exchange=exchange, pipe=pipe),
             traceparent=exchange.span.traceparent,
         )
 
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -14,7 +14,7 @@
 from monsoonpass.border import operator_document
 from monsoonpass.border import operator_models as models
 from monsoonpass.border import operator_text
-from monsoonpass.border import settings as settings_lib
+from monsoonpass.border import settings_sections
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
@@ -250,7 +250,7 @@
         self._check_local(scope)
         try:
             beat = models.Heartbeat.model_validate_json(body)
-            address = settings_lib.HostPort.parse(beat.address)
+            address = settings_sections.HostPort.parse(beat.address)
         except ValueError as error:
             raise self._bad_announcement(scope, str(error)) from error
         known = self._engine.state.config.catalog.services
--- a/src/monsoonpass/runtime/timers.py
+++ b/src/monsoonpass/runtime/timers.py
@@ -7,6 +7,7 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
+from monsoonpass.core import timers
 from monsoonpass.runtime import engine as engine_lib
 
 STALE_MIN = 1024
@@ -17,8 +18,8 @@
 
     def __init__(self, *, engine: engine_lib.Engine):
         self._engine = engine
-        self._due: dict[events.Timer, tuple[float, int]] = {}
-        self._heap: list[tuple[float, int, events.Timer]] = []
+        self._due: dict[timers.Timer, tuple[float, int]] = {}
+        self._heap: list[tuple[float, int, timers.Timer]] = []
         self._numbers = itertools.count()
         self._earlier = anyio.Event()
         self._waiting_until_s = 0.0
--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -17,6 +17,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node as node_lib
 from monsoonpass.core import reducer
+from monsoonpass.core import timers
 from monsoonpass.core.agreement import control_machine
 from monsoonpass.core.agreement import replica as replica_lib
 from monsoonpass.core.distribution import catalog as catalog_lib
@@ -50,7 +51,7 @@
         self.sync_factor = 1.0
         self.state: node_lib.Node | None = None
         self.held: list[tuple[Callable[..., Any], dict[str, Any]]] = []
-        self.timers: dict[events.Timer, int] = {}
+        self.timers: dict[timers.Timer, int] = {}
         self.pending: list[effects.WriteDisk] = []
         self.replies: dict[int, Any] = {}
         self.performed: list[effects.Effect] = []
@@ -126,7 +127,7 @@
             effect.delay_s, self._fire, self.life, effect.timer, number
         )
 
-    def _fire(self, life: int, timer: events.Timer, number: int) -> None:
+    def _fire(self, life: int, timer: timers.Timer, number: int) -> None:
         if life == self.life and self.timers.get(timer) == number:
             del self.timers[timer]
             self.feed(events.TimerFired, timer=timer)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from monsoonpass.core.calls import admission
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import work as work_lib
 
 
 def make(slots: int = 4, queue_limit: int = 8) -> admission.Admission:
@@ -11,7 +12,7 @@
     return made
 
 
-def work(number: int, **changes) -> admission.Work:
+def work(number: int, **changes) -> work_lib.Work:
     """Return work with a distant deadline."""
     fields = {
         "work_id": number,
@@ -21,7 +22,7 @@
         "route": "short",
         "arrived_s": 0.0,
     }
-    return admission.Work(**{**fields, **changes})
+    return work_lib.Work(**{**fields, **changes})
 
 
 def teach(
