Log what a failed call was decided from

Cause: the line of a failed call named its outcome only; the instances tried, the time it took and the version had to be guessed.

Change: the reducer's refusal carries its inputs, and the line shows them with the call's id.

--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -350,10 +350,29 @@
     return [
         *timers,
         *keyed_calls.failed(state, event, call_id=call_id, failure=failure),
-        effects.Refuse(call_id=call_id, failure=failure),
+        effects.Refuse(
+            call_id=call_id,
+            failure=failure,
+            context=_context(state, event, call) if call else {},
+        ),
     ]
 
 
+def _context(
+    state: node.Node, event: events.Event, call: call_lib.Call
+) -> dict[str, object]:
+    """Return what explains a failure afterwards."""
+    return {
+        "route": call.route_name,
+        "service": call.service,
+        "after_ms": round((event.now_s - call.arrived_s) * 1000),
+        "tried": sorted(call.tried),
+        "arrivals": call.arrivals,
+        "version": state.config.version,
+        "known": len(state.membership.table.by_service.get(call.service, {})),
+    }
+
+
 def _with_time_to_return(
     event: events.Event, failure: outcome.Failure
 ) -> outcome.Failure:
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -168,10 +168,12 @@
     Attributes:
         call_id: The call, or the peer's call, at this node.
         failure: The outcome and reason to tell.
+        context: What the decision was made from, for the log.
     """
 
     call_id: int
     failure: outcome.Failure
+    context: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/runtime/front.py
+++ b/src/monsoonpass/runtime/front.py
@@ -169,6 +169,17 @@
         if exchange is None:
             return False
         exchange.put(exchange_lib.Part(failure=effect.failure))
+        self._logger.write(
+            logbook.Code.CALL_FAILED,
+            host=exchange.host,
+            call=caller_http.text(
+                dict(exchange.headers).get(self._names.call_id)
+            ),
+            outcome=str(effect.failure.outcome),
+            reason=str(effect.failure.reason),
+            retry_after_s=effect.failure.retry_after_s,
+            **effect.context,
+        )
         return True
 
     def begin_local_answer(self, exchange: exchange_lib.Exchange) -> None:
@@ -272,7 +283,7 @@
         if part.gone:
             return "caller-gone"
         if part.failure is not None:
-            await self._send_failure(exchange, part.failure, send)
+            await self._send_failure(part.failure, send)
             return str(part.failure.outcome)
         await send(
             {
@@ -320,21 +331,7 @@
             scope.cancel()
         return result[0] if result else exchange_lib.Part(gone=True)
 
-    async def _send_failure(
-        self,
-        exchange: exchange_lib.Exchange,
-        failure: outcome.Failure,
-        send: Send,
-    ) -> None:
-        self._logger.write(
-            logbook.Code.CALL_FAILED,
-            host=exchange.host,
-            call=caller_http.text(
-                dict(exchange.headers).get(self._names.call_id)
-            ),
-            outcome=str(failure.outcome),
-            reason=str(failure.reason),
-        )
+    async def _send_failure(self, failure: outcome.Failure, send: Send) -> None:
         status, headers, content = caller_http.failure_response(
             failure, self._names
         )
