Tell every refused caller when to come back; explain failed requests by their lines

Cause: a call refused for want of an upstream, a link or a drain carried no Retry-After, and a call that timed out did not name who held it.

--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -26,6 +26,7 @@
 HOP_MARGIN_S = 0.005
 PARK_S = 0.5
 RETURN_MIN_S = 0.05  # A new connection and the way back.
+ELSEWHERE_S = 0.25  # News of who serves instead takes about as long.
 RETURN_SPREAD = 2.0  # Times the wait over which returns are spread.
 BUDGET_SHARE = 0.5  # What repeated work calls counts as repeated, too.
 HEDGE_MIN_S = 0.005
@@ -386,8 +387,10 @@
     if failure.reason is Reason.UPSTREAM_SHED:
         # It is not load that it shed, so nothing is gained by waiting.
         return dataclasses.replace(failure, retry_after_s=RETURN_MIN_S)
-    if failure.retry_after_s is None:
+    if failure.reason in (Reason.NO_ROUTE, Reason.TOO_LARGE):
         return failure
+    if failure.retry_after_s is None:
+        return dataclasses.replace(failure, retry_after_s=ELSEWHERE_S)
     draws = entropy_lib.Entropy(bits=event.entropy)
     spread_s = failure.retry_after_s * draws.uniform(1.0, RETURN_SPREAD)
     return dataclasses.replace(failure, retry_after_s=spread_s)
--- a/src/monsoonpass/core/calls/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -81,7 +81,7 @@
     state: node.Node, event: events.Event, call: call_lib.Call
 ) -> list[effects.Effect]:
     """Send a call to its first instance."""
-    failure = call_lib.not_run(Reason.NO_UPSTREAM, None)
+    failure = call_lib.not_run(Reason.NO_UPSTREAM, attempts.RETRY_AFTER_S)
     return attempts.try_next(state, event, call, failure)
 
 
@@ -265,6 +265,7 @@
         return []
     for number in list(call.attempts):
         instance = call.attempts[number].instance
+        call.tried.add(instance)
         if instance == state.settings.address.instance:
             if state.admission.withdraw(call.call_id):
                 del call.attempts[number]
