--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -199,7 +199,7 @@
         load = peer.load
         if load is None or now_s - peer.load_s > LOAD_FRESH_S:
             service_s = peer.latency_s or DEFAULT_SERVICE_TIME_S
-            slots = load.slots if load is not None else UNKNOWN_SLOTS
+            slots = max(load.slots, 1) if load is not None else UNKNOWN_SLOTS
             waiting = max(peer.in_flight + 1 - slots, 0)
             crowding = CROWDING * peer.in_flight / slots
             return link_s + service_s * (1 + crowding + waiting / slots)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -85,6 +85,19 @@
         assert scene.choose(objective_s=0.4, tried={first}) is None
 
 
+    def test_instance_that_told_of_no_slots_can_be_judged_later(self):
+        """Guard: the bound of `slots` in RoutingTable.predict_s."""
+        scene = Scene(x=("a1", 0), y=("a1", 0))
+        none = outcome.Load(
+            slots=0, in_progress=0, queued=0, service_time_s=SERVICE_S
+        )
+        for name in ("x", "y"):
+            scene.state.routing.reported(name, none, scene.mesh.now_s)
+        later = events.Event(now_s=scene.mesh.now_s + 2.0, entropy=5)
+        chosen = routing.choose(scene.state, later, "shop", set(), 0.4)
+        assert chosen is not None
+
+
 class TestReturns:
     def test_refused_callers_are_told_different_times(self):
         """Guard: the draw in attempts._with_time_to_return."""
