--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -8,15 +8,15 @@
 import dataclasses
 
 from monsoonpass.core import effects
-from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
 from monsoonpass.core import timers
+from monsoonpass.core.calls import budget
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import returns
 from monsoonpass.core.calls import routing
-from monsoonpass.core.calls import routing_table
 from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import directory
@@ -25,10 +25,6 @@
 RETRY_AFTER_S = 1.0
 HOP_MARGIN_S = 0.005
 PARK_S = 0.5
-RETURN_MIN_S = 0.05  # A new connection and the way back.
-ELSEWHERE_S = 0.25  # News of who serves instead takes about as long.
-RETURN_SPREAD = 2.0  # Times the wait over which returns are spread.
-BUDGET_SHARE = 0.5  # What repeated work calls counts as repeated, too.
 HEDGE_MIN_S = 0.005
 HEDGE_MIN_SAMPLES = 50
 HEDGE_FACTOR = 2.0
@@ -60,7 +56,7 @@
     if not choice.reroutable:
         # No slot is free; a second attempt would take a first one's place.
         return []
-    if not budget(state, call.service).withdraw():
+    if not budget.of(state, call.service).withdraw():
         return []
     call.hedged = True
     return _send(state, event, call, choice)
@@ -242,7 +238,7 @@
         and has_time
         and call.attempt_count < TRIES_MAX
         and call.may_reach_another
-        and (not arrived or budget(state, call.service).withdraw())
+        and (not arrived or budget.of(state, call.service).withdraw())
     ):
         return try_next(
             state, event, call, final(call, failure), may_park=False
@@ -250,17 +246,6 @@
     return refuse(state, event, call.call_id, final(call, failure))
 
 
-def budget(state: node.Node, service: str) -> routing_table.RetryBudget:
-    """Return the retry budget of a service, as this node's part of it."""
-    settings = state.settings
-    nodes = max(state.membership.table.present_count, 1)
-    return state.routing.budget(
-        service,
-        ratio=settings.retry_ratio * BUDGET_SHARE,
-        most=max(settings.retry_slack * BUDGET_SHARE / nodes, 1.0),
-    )
-
-
 def final(call: call_lib.Call, failure: outcome.Failure) -> outcome.Failure:
     """Return the failure to tell, true for all attempts together."""
     if call.touched and failure.outcome is call_lib.NOT_RUN:
@@ -346,7 +331,7 @@
 ) -> list[effects.Effect]:
     """Give a call its final failure and settle its key."""
     call = state.calls.pop(call_id, None)
-    failure = _with_time_to_return(event, failure)
+    failure = returns.with_time(failure, event.entropy)
     timers = forget_timers(call) if call else []
     return [
         *timers,
@@ -374,28 +359,6 @@
     }
 
 
-def _with_time_to_return(
-    event: events.Event, failure: outcome.Failure
-) -> outcome.Failure:
-    """Spread the returns of refused callers over the time of one wait.
-
-    Load pattern: a moment refuses hundreds of callers, who would all come
-    back at the same moment if they were told the same time.
-    """
-    if failure.outcome is not call_lib.NOT_RUN:
-        return failure
-    if failure.reason is Reason.UPSTREAM_SHED:
-        # It is not load that it shed, so nothing is gained by waiting.
-        return dataclasses.replace(failure, retry_after_s=RETURN_MIN_S)
-    if failure.reason in (Reason.NO_ROUTE, Reason.TOO_LARGE):
-        return failure
-    if failure.retry_after_s is None:
-        return dataclasses.replace(failure, retry_after_s=ELSEWHERE_S)
-    draws = entropy_lib.Entropy(bits=event.entropy)
-    spread_s = failure.retry_after_s * draws.uniform(1.0, RETURN_SPREAD)
-    return dataclasses.replace(failure, retry_after_s=spread_s)
-
-
 def forget_timers(call: call_lib.Call) -> list[effects.Effect]:
     """Return the effects that cancel the timers of a call."""
     result: list[effects.Effect] = [
--- a/src/monsoonpass/core/calls/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -12,6 +12,7 @@
 from monsoonpass.core import step
 from monsoonpass.core import timers
 from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import budget
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import shares
@@ -56,7 +57,7 @@
         best_before_s=event.now_s + route.objective_s,
     )
     state.calls[event.call_id] = call
-    attempts.budget(state, service).deposit()
+    budget.of(state, service).deposit()
     timer = timers.CallDeadline(call_id=event.call_id)
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=limit_s),
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,6 @@
 """Tests of the bounds of second tries."""
 
-from monsoonpass.core.calls import attempts
+from monsoonpass.core.calls import budget
 from monsoonpass.core.calls import call as call_lib
 from tests import test_host_route
 from tests import test_routing
@@ -13,7 +13,7 @@
     def test_all_nodes_together_stay_within_the_fleets_budget(self):
         """Replays a fleet whose first sends all fail.
 
-        Guard: the division by `nodes` in attempts.budget.
+        Guard: the division by `nodes` in budget.of.
         """
         spent = calls = 0
         for _ in range(12):
@@ -23,18 +23,18 @@
             state = scene.state
             for _ in range(300):
                 calls += 1
-                attempts.budget(state, "shop").deposit()
-                spent += attempts.budget(state, "shop").withdraw()
+                budget.of(state, "shop").deposit()
+                spent += budget.of(state, "shop").withdraw()
         assert spent <= RATIO * calls + SLACK
 
     def test_most_of_a_nodes_budget_comes_with_its_calls(self):
         scene = test_routing.Scene(x=("a1", 0))
-        budget = attempts.budget(scene.state, "shop")
-        while budget.withdraw():
+        part = budget.of(scene.state, "shop")
+        while part.withdraw():
             pass
         for _ in range(100):
-            budget.deposit()
-        assert budget.tokens <= 100 * RATIO
+            part.deposit()
+        assert part.tokens <= 100 * RATIO
 
 
 class TestBounds:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,9 +5,9 @@
 import pytest
 
 from monsoonpass.core import events
-from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import returns
 from monsoonpass.core.calls import routing
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_mesh
@@ -84,7 +84,6 @@
         assert first in ("x", "y")
         assert scene.choose(objective_s=0.4, tried={first}) is None
 
-
     def test_instance_that_told_of_no_slots_can_be_judged_later(self):
         """Guard: the bound of `slots` in RoutingTable.predict_s."""
         scene = Scene(x=("a1", 0), y=("a1", 0))
@@ -100,7 +99,7 @@
 
 class TestReturns:
     def test_refused_callers_are_told_different_times(self):
-        """Guard: the draw in attempts._with_time_to_return."""
+        """Guard: the draw in returns.with_time."""
         failure = outcome.Failure(
             outcome=call_lib.NOT_RUN,
             reason=outcome.Reason.OVERLOADED,
@@ -108,9 +107,8 @@
         )
         told = set()
         for number in range(50):
-            event = events.Event(now_s=0.0, entropy=number * 7919)
-            result = attempts._with_time_to_return(event, failure)
+            result = returns.with_time(failure, number * 7919)
             told.add(round(result.retry_after_s, 2))
         assert min(told) >= 0.2
-        assert max(told) <= 0.2 * attempts.RETURN_SPREAD
+        assert max(told) <= 0.2 * returns.RETURN_SPREAD
         assert len(told) > 10
