--- a/src/monsoonpass/border/journal.py
+++ b/src/monsoonpass/border/journal.py
@@ -198,9 +198,12 @@
     group = 0
     while position < len(data):
         start = position + _HEADER.size
+        if start > len(data):
+            break
         header = _read_header(data, position)
         if header is None:
-            _check_unwritten(data, position, data[position:start], group)
+            # It may also be the first record of the next group.
+            _check_unwritten(data, position, data[position:start], group + 1)
             break
         size_bytes, group, checksum = header
         payload = data[start : start + size_bytes]
@@ -233,16 +236,20 @@
 ) -> None:
     """Check that bad bytes are the unwritten part of the last group.
 
+    Args:
+        data: The whole file.
+        position: Where the bad record begins.
+        bad: Its bad bytes.
+        group: The last group that it may belong to.
+
     Raises:
         JournalDamagedError: They are something else.
     """
-    is_cut_off = len(bad) < _HEADER.size and position + len(bad) == len(data)
-    is_zero = bad.endswith(b"\0") or UNWRITTEN in bad
-    if not is_cut_off and not is_zero:
+    if not bad.endswith(b"\0") and UNWRITTEN not in bad:
         raise _damaged(position)
     for later in range(position + 1, len(data) - _HEADER.size):
         header = _read_header(data, later)
-        if header is not None and header[1] > group + 1:
+        if header is not None and header[1] > group:
             raise _damaged(position)
 
 
--- a/src/monsoonpass/border/settings.py
+++ b/src/monsoonpass/border/settings.py
@@ -97,7 +97,6 @@
             service=self.upstream.service,
             retry_ratio=self.retries.ratio,
             retry_slack=self.retries.slack,
-            retry_window_s=self.retries.window_s,
             silence_s=self.upstream.silence_s,
         )
 
--- a/src/monsoonpass/border/settings_sections.py
+++ b/src/monsoonpass/border/settings_sections.py
@@ -202,7 +202,6 @@
 
     ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
     slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 20.0
-    window_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 10.0
 
 
 class HeadersSection(Section):
--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -55,7 +55,7 @@
         self._queue: list[tuple[tuple[int, float, int], work_lib.Work]] = []
         self._times = service_times.ServiceTimes()
         self._short_rate = 0.0
-        self._times.short_seen = 0
+        self._short_seen = 0
         self._window_start_s = 0.0
         self._ready_s = -math.inf
         self._slow_start_s = SLOW_START_S
@@ -347,12 +347,12 @@
     def _count_arrival(self, work: work_lib.Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
         if elapsed_s >= RATE_WINDOW_S:
-            rate = self._times.short_seen / elapsed_s
+            rate = self._short_seen / elapsed_s
             self._short_rate += 0.5 * (rate - self._short_rate)
-            self._times.short_seen = 0
+            self._short_seen = 0
             self._window_start_s = now_s
         if not self.is_long(work):
-            self._times.short_seen += 1
+            self._short_seen += 1
 
 
 def _refuse(
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -332,9 +332,9 @@
     """Give a call its final failure and settle its key."""
     call = state.calls.pop(call_id, None)
     failure = returns.with_time(failure, event.entropy)
-    timers = forget_timers(call) if call else []
+    cancels = forget_timers(call) if call else []
     return [
-        *timers,
+        *cancels,
         *keyed_calls.failed(state, event, call_id=call_id, failure=failure),
         effects.Refuse(
             call_id=call_id,
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -47,7 +47,6 @@
         service: Service of the own upstream before it announces itself.
         retry_ratio: Second tries of a service per call, over all nodes.
         retry_slack: Second tries of a service beyond that, over all nodes.
-        retry_window_s: Time for which the slack holds.
         silence_s: Silence after which an announced upstream is withdrawn;
             0 for upstreams that announce themselves once.
     """
@@ -69,7 +68,6 @@
     service: str = ""
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
-    retry_window_s: float = 10.0
     silence_s: float = 0.0
 
     def covers(self, data_centre: str) -> bool:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -96,6 +96,33 @@
         with pytest.raises(errors.JournalDamagedError):
             open_journal(tmp_path)
 
+    def test_damage_in_a_short_last_record_is_never_cut(self, tmp_path):
+        """Guard: only a cut header counts as the end of the file."""
+        journal = open_journal(tmp_path)
+        journal.append([records.HardState(term=3, voted_for=7)])
+        journal.sync()
+        journal.close()
+        path = next(tmp_path.glob("journal-*.log"))
+        data = bytearray(path.read_bytes())
+        data[-1] ^= 0x55
+        path.write_bytes(bytes(data))
+        with pytest.raises(errors.JournalDamagedError):
+            open_journal(tmp_path)
+
+    def test_unwritten_content_before_the_next_group_is_damage(self, tmp_path):
+        """Guard: a record with a whole header tells its own group."""
+        path = write_three(tmp_path)
+        length = path.stat().st_size // 3
+        journal = open_journal(tmp_path)
+        journal.append([entry(4)])
+        journal.sync()
+        journal.close()
+        data = bytearray(path.read_bytes())
+        data[3 * length - 10 : 3 * length] = bytes(10)
+        path.write_bytes(bytes(data))
+        with pytest.raises(errors.JournalDamagedError):
+            open_journal(tmp_path)
+
     def test_failed_write_is_taken_back_and_written_again(self, tmp_path):
         """Guard: the truncation in Journal.undo."""
         write_three(tmp_path)
