Frame a body once, at its entry; ask a route for its key; correct a test

The owner gave whole bodies a length that the entry had given them already; the document spelled the key that a route has; the server counted connections that nothing read.

--- a/src/monsoonpass/border/operator_document.py
+++ b/src/monsoonpass/border/operator_document.py
@@ -157,8 +157,8 @@
             for detail in error.errors(include_url=False)
         ]
         raise errors.TextError(issues=issues) from error
-    _check_unique(model)
     routes = tuple(route.compile() for route in model.routes)
+    _check_unique(routes, [service.name for service in model.services])
     services = {item.name: item.compile() for item in model.services}
     try:
         return catalog.Catalog(
@@ -182,15 +182,15 @@
     return json.dumps(document).encode()
 
 
-def _check_unique(model: DocumentModel) -> None:
+def _check_unique(
+    routes: tuple[host_route.HostRoute, ...], names: list[str]
+) -> None:
     issues = []
     seen: set[str] = set()
-    for route in model.routes:
-        place = f"{route.host.lower()} {route.path}"
-        if place in seen:
-            issues.append(_issue("routes", f"{place} stands twice"))
-        seen.add(place)
-    names = [service.name for service in model.services]
+    for route in routes:
+        if route.key in seen:
+            issues.append(_issue("routes", f"{route.key} stands twice"))
+        seen.add(route.key)
     if len(names) != len(set(names)):
         issues.append(_issue("services", "a service stands twice"))
     if issues:
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -30,11 +30,7 @@
 
 
 class Server:
-    """Serves an application on one address.
-
-    Attributes:
-        connections: Number of open connections.
-    """
+    """Serves an application on one address."""
 
     def __init__(
         self,
@@ -54,7 +50,6 @@
         self.app = app
         self.limits = limits
         self.is_closing = is_closing
-        self.connections = 0
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
@@ -64,11 +59,9 @@
         await listener.serve(self._accept)
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
-        self.connections += 1
         try:
             await Connection(server=self, stream=stream).run()
         finally:
-            self.connections -= 1
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
--- a/src/monsoonpass/runtime/owner.py
+++ b/src/monsoonpass/runtime/owner.py
@@ -256,9 +256,8 @@
             headers.append((self._names.timeout_ms, left_ms))
         if self._names.upstream_id and self.pool.upstream_id:
             headers.append((self._names.upstream_id, self.pool.upstream_id))
-        if work.ended and work.first:
-            headers = _framed(headers, len(work.first))
-        elif not work.ended and not _has_length(headers):
+        # The entry has given a whole body its length.
+        if not work.ended and not _has_length(headers):
             headers.append((b"transfer-encoding", b"chunked"))
         work.head_sent = True
         await connection.send_head(
@@ -357,14 +356,6 @@
     return any(name == b"content-length" for name, _ in headers)
 
 
-def _framed(
-    headers: list[tuple[bytes, bytes]], size_bytes: int
-) -> list[tuple[bytes, bytes]]:
-    """Return headers with the length of a whole body."""
-    kept = [item for item in headers if item[0] != b"content-length"]
-    return [*kept, (b"content-length", str(size_bytes).encode())]
-
-
 def _not_run(reason: outcome.Reason) -> outcome.Failure:
     return outcome.Failure(outcome=outcome.Outcome.NOT_RUN, reason=reason)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -111,14 +111,15 @@
 
     def test_unwritten_content_before_the_next_group_is_damage(self, tmp_path):
         """Guard: a record with a whole header tells its own group."""
-        path = write_three(tmp_path)
-        length = path.stat().st_size // 3
         journal = open_journal(tmp_path)
-        journal.append([entry(4)])
-        journal.sync()
+        for index in (1, 2):
+            journal.append([entry(index)])
+            journal.sync()
         journal.close()
+        path = next(tmp_path.glob("journal-*.log"))
+        length = path.stat().st_size // 2
         data = bytearray(path.read_bytes())
-        data[3 * length - 10 : 3 * length] = bytes(10)
+        data[length - 10 : length] = bytes(10)
         path.write_bytes(bytes(data))
         with pytest.raises(errors.JournalDamagedError):
             open_journal(tmp_path)
