--- a/src/monsoonpass/core/agreement/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -97,6 +97,7 @@
         elif isinstance(notice.token, ReadToken):
             result.append(_read_reply(state, notice.token, confirmed=False))
     result += newest.advance(state, event)
+    result += _answer_askers(state, event)
     if replica_lib.wants_compaction(replica):
         result.append(checkpoint(state))
     return result
@@ -231,10 +232,36 @@
     try:
         result = replication.start_read(replica, token=token, now_s=event.now_s)
     except replica_lib.NotLeaderError:
+        cold_start.keep_asker(state, event.sender, message)
         return [_read_reply(state, token, confirmed=False)]
     return result + drain_notices(state, event)
 
 
+def _answer_askers(
+    state: node.Node, event: events.Event
+) -> list[effects.Effect]:
+    """Begin the reads that met no leader, or tell the askers who leads."""
+    replica = state.control.replica
+    leads = replica.is_ready_leader
+    known = leads or (replica.leader_address and not replica.is_leader)
+    if not state.control.askers or not known:
+        return []
+    askers, state.control.askers = state.control.askers, {}
+    result: list[effects.Effect] = []
+    for asker in askers.values():
+        token = ReadToken(asker=asker)
+        if not leads:
+            result.append(_read_reply(state, token, confirmed=False))
+            continue
+        try:
+            result += replication.start_read(
+                replica, token=token, now_s=event.now_s
+            )
+        except replica_lib.NotLeaderError:
+            return result
+    return result
+
+
 def _resume(state: node.Node, event: events.Started) -> list[effects.Effect]:
     """Rebuild the replica from the journal."""
     formation.make_replica(state, records.Members(members=()))
--- a/src/monsoonpass/core/agreement/election.py
+++ b/src/monsoonpass/core/agreement/election.py
@@ -13,29 +13,27 @@
     *,
     now_s: float,
     entropy: int,
-    fresh: bool = False,
 ) -> list[effects.Effect]:
-    """Start a replica.
+    """Start a replica, which at once asks whether it may lead.
 
-    A restarted replica may have heard from a leader just before, so it first
-    waits as if it had. One that has just entered its first group has not.
+    Those that hear a leader refuse it, so one restart disturbs nobody; where
+    all have restarted, nobody waits for a leader that cannot come. No answer
+    leans on a wait: reads and acknowledgements take a round of the quorum.
 
     Args:
         replica: The replica; its term, vote and log are set.
         now_s: Time of the event.
         entropy: Random bits.
-        fresh: Whether its disk never belonged to a group before.
 
     Returns:
         Effects, among them the first election timer.
     """
-    if not fresh:
-        replica.leader_heard_s = now_s
+    replica.started_s = now_s
     if replica.members.voters == (replica.replica_id,):
         return _campaign(replica, pre=False, now_s=now_s, entropy=entropy)
-    if fresh and replica.is_voter:
+    if replica.is_voter:
         return _campaign(replica, pre=True, now_s=now_s, entropy=entropy)
-    return [group.election_timer(entropy)]
+    return [group.election_timer(replica, entropy)]
 
 
 def timeout(
@@ -45,10 +43,10 @@
     if replica.is_leader:
         return []
     if replica.failed:
-        return [group.election_timer(entropy)]
+        return [group.election_timer(replica, entropy)]
     quiet_s = now_s - replica.leader_heard_s
     if not replica.is_voter or quiet_s < replica_lib.ELECTION_MIN_S:
-        return [group.election_timer(entropy, min(quiet_s, 0.5))]
+        return [group.election_timer(replica, entropy, min(quiet_s, 0.5))]
     return _campaign(replica, pre=True, now_s=now_s, entropy=entropy)
 
 
@@ -121,7 +119,7 @@
     replica: replica_lib.Replica, *, pre: bool, now_s: float, entropy: int
 ) -> list[effects.Effect]:
     """Ask for pre-votes, or begin a new term and ask for votes."""
-    result: list[effects.Effect] = [group.election_timer(entropy)]
+    result: list[effects.Effect] = [group.election_timer(replica, entropy)]
     replica.leader_id = 0
     replica.votes = set()
     if pre:
--- a/src/monsoonpass/core/agreement/formation.py
+++ b/src/monsoonpass/core/agreement/formation.py
@@ -136,9 +136,7 @@
     replica = control.replica
     base = records.LogSnapshot(index=0, term=0, members=members, data=b"")
     write = state.disk.write([control.identity, base])
-    started = election.start(
-        replica, now_s=event.now_s, entropy=event.entropy, fresh=True
-    )
+    started = election.start(replica, now_s=event.now_s, entropy=event.entropy)
     return [write, *started]
 
 
@@ -147,7 +145,8 @@
     replica = state.control.replica
     if replica is None or replica.members.find(replica.replica_id) is None:
         return True
-    return event.now_s - replica.leader_heard_s > JOIN_AFTER_S
+    heard_s = max(replica.leader_heard_s, replica.started_s)
+    return event.now_s - heard_s > JOIN_AFTER_S
 
 
 def ask_to_join(state: node.Node, event: events.Event) -> list[effects.Effect]:
--- a/src/monsoonpass/core/agreement/group.py
+++ b/src/monsoonpass/core/agreement/group.py
@@ -56,23 +56,33 @@
         replica.term = term
         replica.voted_for = 0
         result.append(replica.write_hard_state())
-    result.append(election_timer(entropy))
+    result.append(election_timer(replica, entropy))
     return result
 
 
-def election_timer(entropy: int, quiet_s: float = 0.0) -> effects.SetTimer:
+def election_timer(
+    replica: replica_lib.Replica, entropy: int, quiet_s: float = 0.0
+) -> effects.SetTimer:
     """Return the effect that sets a random election timer.
 
+    A voter that has heard of no leader since its start tries again soon: its
+    peers may be starting too, and until one leads no node can start serving.
+
     Args:
+        replica: The replica.
         entropy: Random bits.
         quiet_s: Part of the time that has already passed.
 
     Returns:
         The effect.
     """
-    timeout_s = entropy_lib.Entropy(bits=entropy).uniform(
-        replica_lib.ELECTION_MIN_S, replica_lib.ELECTION_MAX_S
-    )
+    shortest_s = replica_lib.ELECTION_MIN_S
+    longest_s = replica_lib.ELECTION_MAX_S
+    if replica.is_voter and replica.leader_heard_s == float("-inf"):
+        shortest_s = replica_lib.FIRST_ELECTION_MIN_S
+        longest_s = replica_lib.FIRST_ELECTION_MAX_S
+    draws = entropy_lib.Entropy(bits=entropy)
+    timeout_s = draws.uniform(shortest_s, longest_s)
     return effects.SetTimer(
         timer=timers.Election(), delay_s=max(timeout_s - quiet_s, 0.01)
     )
--- a/src/monsoonpass/core/agreement/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -26,6 +26,8 @@
 ELECTION_MIN_S = 0.75
 ELECTION_MAX_S = 1.5
 LEASE_S = 0.5
+FIRST_ELECTION_MIN_S = 0.1  # Some round trips between regions, and syncs.
+FIRST_ELECTION_MAX_S = 0.4
 COMPACT_AFTER_ENTRIES = 1000
 COMPACT_AFTER_BYTES = 1024 * 1024
 
@@ -117,7 +119,9 @@
         voted_for: Replica voted for in this term, or 0; durable.
         role: What the replica does now.
         leader_id: Replica id of the leader, or 0.
-        leader_heard_s: When the leader was last heard.
+        leader_heard_s: When a leader was last heard, or a vote given; minus
+            infinity from a start until then.
+        started_s: When this replica started.
         leading_since_s: When this replica became the leader.
         commit_index: Highest index known to be committed.
         applied_index: Highest index applied to the machine.
@@ -147,6 +151,7 @@
     role: Role = Role.FOLLOWER
     leader_id: int = 0
     leader_heard_s: float = float("-inf")
+    started_s: float = float("-inf")
     leading_since_s: float = float("-inf")
     commit_index: int = 0
     applied_index: int = 0
@@ -352,7 +357,10 @@
 
 
 def is_in_touch(replica: Replica, now_s: float) -> bool:
-    """Return whether the replica was in touch with a quorum recently."""
+    """Return whether the replica was in touch with a quorum recently.
+
+    No proof that it still leads; it spares hopeless work.
+    """
     if replica.is_leader:
         return now_s - quorum_contact_s(replica, now_s) < LEASE_S
     heard_recently = now_s - replica.leader_heard_s < ELECTION_MAX_S
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -19,7 +19,8 @@
 from monsoonpass.core.distribution import newest
 from monsoonpass.core.distribution import submission
 
-COLD_RETRY_S = 0.4  # Less than an election takes after all voters restart.
+COLD_RETRY_S = 0.2  # Less than an election takes after all voters restart.
+ASKERS_MAX = 1024  # Nodes that are told of the next leader; others ask again.
 HINT_INTERVAL_S = 0.1
 COLD_RETRY_MAX_S = 1.0  # Callers are refused until a quorum has answered.
 
@@ -37,6 +38,7 @@
     if not message.confirmed:
         return _follow_hint(state, event, message.leader)
     result = submission.leader_confirmed(state, event)
+    config.confirmed_by = event.sender
     config.confirmed_version = max(
         message.version, config.confirmed_version or 0
     )
@@ -122,6 +124,19 @@
     return [effects.Send(to=leader, message=messages.ColdRead())]
 
 
+def keep_asker(
+    state: node.Node, asker: address_lib.Address, message: messages.ColdRead
+) -> None:
+    """Note a node to answer once there is a leader.
+
+    Load pattern: all nodes restart at once and ask before a leader is there;
+    asking again by the clock would keep each waiting after that, for nothing.
+    """
+    askers = state.control.askers
+    if not message.number and len(askers) < ASKERS_MAX:
+        askers[asker.instance] = asker
+
+
 def reply(
     state: node.Node,
     asker: address_lib.Address,
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -172,8 +172,11 @@
         config.fetching = ""
     result: list[effects.Effect] = []
     if not config.ready and message.version < config.fetch_version:
-        # The quorum's version is newer than what this peer has.
-        return result
+        # The peer starts too; the voter has what it has confirmed.
+        voter = config.confirmed_by
+        if voter is None or voter.instance == event.sender.instance:
+            return result
+        return catch_up.fetch(state, voter, config.fetch_version)
     try:
         if message.snapshot is not None:
             catalog = catalog_lib.from_snapshot(message.snapshot)
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -140,6 +140,7 @@
         staged: Later ones that come into force once they are durable.
         ready: Whether the first version since the start was obtained.
         confirmed_version: Version that a quorum confirmed since the start.
+        confirmed_by: The voter that last confirmed a version.
         in_force_since_s: When the version came into force here.
         history: Recent changes, oldest first, for peers that lag.
         fetching: Instance that a newer version was asked of, or empty.
@@ -155,6 +156,7 @@
     )
     ready: bool = False
     confirmed_version: int | None = None
+    confirmed_by: address_lib.Address | None = None
     in_force_since_s: float = 0.0
     history: collections.deque[catalog_lib.Delta] = dataclasses.field(
         default_factory=collections.deque
@@ -192,6 +194,7 @@
         voters: Where the voters are, as far as known.
         leader: Where the leader is, as far as known.
         hint_followed_s: When a hint to the leader was last followed.
+        askers: Nodes whose cold read met no leader, by instance.
         probed: Replica ids of bootstrap voters that have no group yet.
         candidates: Disks that ask to join, by replica id.
         submissions: Submissions from this node's operators, by request id.
@@ -209,6 +212,9 @@
     voters: tuple[address_lib.Address, ...] = ()
     leader: address_lib.Address | None = None
     hint_followed_s: float = float("-inf")
+    askers: dict[str, address_lib.Address] = dataclasses.field(
+        default_factory=dict
+    )
     probed: dict[str, int] = dataclasses.field(default_factory=dict)
     candidates: dict[int, Any] = dataclasses.field(default_factory=dict)
     submissions: dict[int, Any] = dataclasses.field(default_factory=dict)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -164,6 +164,41 @@
         mesh.check_converged()
         assert versions(mesh) == {1}
 
+    @pytest.mark.parametrize("seed_number", range(12))
+    def test_all_serve_soon_after_all_restart(self, seed_number):
+        """Guard: the first election timer, and the askers that voters keep."""
+        mesh = make_two_places(seed_number=seed_number)
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for node in mesh.nodes.values():
+            mesh.at(mesh.random.uniform(0.0, 0.3), node.start)
+        mesh.run(0.3)
+        assert mesh.run_until(
+            lambda: all(n.state.config.ready for n in mesh.nodes.values()),
+            limit_s=0.8,
+        )
+
+    def test_nodes_that_wait_for_a_leader_are_answered_by_it(self):
+        """Guard: `_answer_askers`, else they ask again by the clock."""
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for name, node in mesh.nodes.items():
+            if name not in ("v1", "v2"):
+                node.start()
+        mesh.run(5)
+        mesh.nodes["v1"].start()
+        assert mesh.run_until(lambda: mesh.leader() is not None, limit_s=2)
+        mesh.run(0.1)
+        plain = [n for n in mesh.nodes.values() if not n.settings.has_disk]
+        assert all(n.state.config.ready for n in plain)
+
     def test_content_comes_from_a_peer_before_a_voter(self):
         mesh = make_two_places()
         mesh.run(6)
