--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -54,8 +54,8 @@
         self.withdrawals = 0
         self._queue: list[tuple[tuple[int, float, int], work_lib.Work]] = []
         self._times = service_times.ServiceTimes()
-        self._short_rate = 0.0
-        self._short_seen = 0
+        self._short_rates: dict[int, float] = {}
+        self._short_seen: dict[int, int] = {}
         self._window_start_s = 0.0
         self._ready_s = -math.inf
         self._slow_start_s = SLOW_START_S
@@ -293,27 +293,40 @@
         )
         return max(1, int(slots * share))
 
-    def _reserved_for_short(self) -> int:
-        """Return the slots that long work leaves free (Little's law)."""
-        expected = self._short_rate * self._times.short_s * RESERVE_MARGIN
+    def _reserved_for_short(self, priority: int) -> int:
+        """Return the slots that long work leaves free (Little's law).
+
+        Only for short work at least as urgent: a shorter call is no reason to
+        let a more urgent one wait.
+
+        Args:
+            priority: Of the long work.
+        """
+        rate = sum(
+            rate
+            for urgency, rate in self._short_rates.items()
+            if urgency <= priority
+        )
+        expected = rate * self._times.short_s * RESERVE_MARGIN
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
     def _fill_slots(self, decision: work_lib.Decision, now_s: float) -> None:
         self._drop_late(decision, now_s)
         usable = self._usable_slots(now_s)
-        long_room = usable - self._reserved_for_short()
-        long_room -= sum(
-            self._holds_long(w, now_s) for w in (self.in_progress.values())
+        long_held = sum(
+            self._holds_long(w, now_s) for w in self.in_progress.values()
         )
         position = 0
         while position < len(self._queue) and len(self.in_progress) < usable:
             work = self._queue[position][1]
             work.is_long = self.is_long(work)
-            if work.is_long and long_room <= 0 and self.slots > 1:
-                position += 1
-                continue
+            if work.is_long and self.slots > 1:
+                reserved = self._reserved_for_short(work.priority)
+                if long_held >= usable - reserved:
+                    position += 1
+                    continue
             del self._queue[position]
-            long_room -= work.is_long
+            long_held += work.is_long
             work.dispatched_s = now_s
             self.in_progress[work.work_id] = work
             work.beside = len(self.in_progress)
@@ -347,12 +360,15 @@
     def _count_arrival(self, work: work_lib.Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
         if elapsed_s >= RATE_WINDOW_S:
-            rate = self._short_seen / elapsed_s
-            self._short_rate += 0.5 * (rate - self._short_rate)
-            self._short_seen = 0
+            for priority in self._short_seen:
+                rate = self._short_seen[priority] / elapsed_s
+                before = self._short_rates.get(priority, 0.0)
+                self._short_rates[priority] = (rate + before) / 2.0
+                self._short_seen[priority] = 0
             self._window_start_s = now_s
         if not self.is_long(work):
-            self._short_seen += 1
+            seen = self._short_seen.get(work.priority, 0)
+            self._short_seen[work.priority] = seen + 1
 
 
 def _refuse(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -147,6 +147,21 @@
         decision = own.offer(work(50, route="short"), 1.0)
         assert [w.work_id for w in decision.dispatch] == [50]
 
+    def test_urgent_long_work_is_not_kept_back_for_less_urgent(self):
+        """Replays uploads beside a flood of lookups that are less urgent.
+
+        Guard: the priority in Admission._reserved_for_short.
+        """
+        own = make(slots=9, queue_limit=1000)
+        teach(own, "lookup", 0.02, calls=200)
+        teach(own, "upload", 0.1, calls=20)
+        for number in range(300):
+            own.offer(work(number, route="lookup"), number * 0.004)
+            own.finish(number, service_time_s=0.02, ok=True, now_s=1.0)
+        for number in range(400, 406):
+            own.offer(work(number, route="upload", priority=1), 1.2)
+        assert len(own.in_progress) == 6
+
     def test_stragglers_of_a_short_route_count_as_long(self):
         own = make(slots=4, queue_limit=100)
         teach(own, "short", 0.01, calls=200)
