--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -268,6 +268,10 @@
 ) -> list[effects.Effect]:
     """Replace the configuration in force."""
     config = state.config
+    fields: dict[str, object] = {"version": catalog.version}
+    if not config.version:
+        waited_s = event.now_s - config.in_force_since_s
+        fields["after_start_s"] = round(waited_s, 3)
     config.catalog = catalog
     config.in_force_since_s = event.now_s
     # What a replica applies while it catches up may be older than what this
@@ -281,10 +285,7 @@
         if len(config.history) > HISTORY_MAX:
             config.history.popleft()
     result: list[effects.Effect] = [
-        effects.Log(
-            code=logbook.Code.VERSION_IN_FORCE,
-            fields={"version": catalog.version},
-        )
+        effects.Log(code=logbook.Code.VERSION_IN_FORCE, fields=fields)
     ]
     if not config.hint_set:
         config.hint_set = True
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -141,7 +141,8 @@
         ready: Whether the first version since the start was obtained.
         confirmed_version: Version that a quorum confirmed since the start.
         confirmed_by: The voter that last confirmed a version.
-        in_force_since_s: When the version came into force here.
+        in_force_since_s: When the version came into force here, or the node
+            started.
         history: Recent changes, oldest first, for peers that lag.
         fetching: Instance that a newer version was asked of, or empty.
         fetch_version: The version hoped for.
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
+from monsoonpass.core import logbook
 from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.membership import directory
 from monsoonpass.core.membership import member as member_lib
@@ -181,6 +182,19 @@
             limit_s=0.8,
         )
 
+    def test_first_version_tells_how_long_the_node_was_without(self):
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        logs = [
+            effect.fields
+            for effect in mesh.nodes["a0"].performed
+            if isinstance(effect, effects.Log)
+            and effect.code is logbook.Code.VERSION_IN_FORCE
+        ]
+        assert 6.0 < logs[0]["after_start_s"] < 8.0
+
     def test_nodes_that_wait_for_a_leader_are_answered_by_it(self):
         """Guard: `_answer_askers`, else they ask again by the clock."""
         mesh = make_two_places()
