Compute digests of records in one place, and bound texts by one figure

Cause: catalog and host_route each had the hash and its length; the two forms of the operator's text each had the same bound. No behaviour changes.

--- a/src/monsoonpass/border/operator_document.py
+++ b/src/monsoonpass/border/operator_document.py
@@ -14,7 +14,7 @@
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import host_route
 
-DOCUMENT_MAX_BYTES = 4 * 1024 * 1024
+DOCUMENT_MAX_BYTES = 4 * 1024 * 1024  # Some ten thousand services.
 TIME_MAX_S = 24 * 3600.0
 ATTEMPTS_MAX = 100
 
--- a/src/monsoonpass/border/operator_text.py
+++ b/src/monsoonpass/border/operator_text.py
@@ -12,9 +12,10 @@
 import yaml
 
 from monsoonpass import errors
+from monsoonpass.border import operator_document
 from monsoonpass.core.distribution import catalog
 
-TEXT_MAX_BYTES = 4 * 1024 * 1024
+TEXT_MAX_BYTES = operator_document.DOCUMENT_MAX_BYTES
 SERVICES_MAX = 10_000
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+import hashlib
 import types
 import typing
 from typing import Any
@@ -17,6 +18,8 @@
 
 from monsoonpass import errors
 
+DIGEST_BYTES = 16  # Collisions are out of reach for any number of records.
+
 _tags: dict[type, int] = {}
 _types: dict[int, type] = {}
 
@@ -97,6 +100,16 @@
     return msgpack.packb(_pack_fields(type(value))(value))
 
 
+def digest(value: Any) -> bytes:
+    """Return the digest of a data class, by its canonical form."""
+    return digest_bytes(digest_form(value))
+
+
+def digest_bytes(data: bytes) -> bytes:
+    """Return the digest of bytes."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
 def _validate(cls: type, fields: tuple[Any, ...]) -> Any:
     try:
         return _adapter(cls).validate_python(_named(cls, fields))
--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -9,13 +9,11 @@
 import dataclasses
 import enum
 import functools
-import hashlib
 
 from monsoonpass import codec
 from monsoonpass import errors
 from monsoonpass.core.distribution import host_route
 
-DIGEST_BYTES = 16
 ATTEMPTS_MAX = 4  # Upstreams that a call of a service's own route may try.
 
 
@@ -97,7 +95,7 @@
     @functools.cached_property
     def digest(self) -> bytes:
         """The digest of the whole record."""
-        return _hash(codec.digest_form(self))
+        return codec.digest(self)
 
     @functools.cached_property
     def routes_by_length(self) -> tuple[Route, ...]:
@@ -358,7 +356,7 @@
     limits: host_route.Limits,
 ) -> bytes:
     ordered = sorted(services, key=lambda service: service.name)
-    return _hash(
+    return codec.digest_bytes(
         b"".join(
             (
                 *(service.digest for service in ordered),
@@ -370,10 +368,6 @@
     )
 
 
-def _hash(data: bytes) -> bytes:
-    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
-
-
 def _is_under(path: str, prefix: str) -> bool:
     if prefix == "/" or path == prefix:
         return True
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -3,12 +3,9 @@
 import dataclasses
 import enum
 import functools
-import hashlib
 
 from monsoonpass import codec
 
-DIGEST_BYTES = 16
-
 
 class Kind(enum.StrEnum):
     """How often a call may run, whatever its method.
@@ -86,9 +83,7 @@
     @functools.cached_property
     def digest(self) -> bytes:
         """The digest of the whole record."""
-        return hashlib.blake2b(
-            codec.digest_form(self), digest_size=DIGEST_BYTES
-        ).digest()
+        return codec.digest(self)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
