Join soon after a start together; ask a starting voter again soon

Change: join retries from 0.1 s, doubled up to 2 s; only a seed's answer ends them; a seed that is told of the leader tells those who asked it; a voter that cannot be reached is asked again after 0.15 to 0.3 s. Tests: four new ones; each fails without its line.

--- a/src/monsoonpass/core/agreement/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -228,6 +228,7 @@
     replica = state.control.replica
     token = ReadToken(asker=event.sender, number=message.number)
     if replica is None:
+        cold_start.keep_asker(state, event.sender, message)
         return [_read_reply(state, token, confirmed=False)]
     try:
         result = replication.start_read(replica, token=token, now_s=event.now_s)
--- a/src/monsoonpass/core/agreement/voters.py
+++ b/src/monsoonpass/core/agreement/voters.py
@@ -9,8 +9,10 @@
 def leader_of(state: node.Node) -> address_lib.Address | None:
     """Return where the leader is, as far as this node knows."""
     replica = state.control.replica
-    if replica is not None:
+    if replica is not None and replica.leader_address is not None:
         return replica.leader_address
+    if replica is not None and replica.is_voter:
+        return None
     return state.control.leader
 
 
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -22,6 +22,7 @@
 COLD_RETRY_S = 0.2  # Less than an election takes after all voters restart.
 ASKERS_MAX = 1024  # Nodes that are told of the next leader; others ask again.
 HINT_INTERVAL_S = 0.1
+REDIAL_S = 0.15  # A refused connection costs little; the voter is starting.
 COLD_RETRY_MAX_S = 1.0  # Callers are refused until a quorum has answered.
 
 
@@ -33,11 +34,12 @@
     if message.voters:
         state.control.voters = message.voters
     state.control.leader = message.leader or state.control.leader
+    result = _tell_askers(state)
     if message.number:
-        return newest.answered(state, event, message)
+        return result + newest.answered(state, event, message)
     if not message.confirmed:
-        return _follow_hint(state, event, message.leader)
-    result = submission.leader_confirmed(state, event)
+        return result + _follow_hint(state, event, message.leader)
+    result += submission.leader_confirmed(state, event)
     config.confirmed_by = event.sender
     config.confirmed_version = max(
         message.version, config.confirmed_version or 0
@@ -65,6 +67,17 @@
     return begin(state, event)
 
 
+def link_lost(state: node.Node, event: events.LinkLost) -> list[effects.Effect]:
+    """Ask again soon, without a version, when a voter cannot be reached."""
+    voters = {v.instance for v in voters_lib.known_voters(state)}
+    if state.config.ready or event.instance not in voters:
+        return []
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    delay_s = draws.uniform(REDIAL_S, 2.0 * REDIAL_S)
+    timer = timers.ColdStartRetry()
+    return [effects.SetTimer(timer=timer, delay_s=delay_s)]
+
+
 def begin(state: node.Node, event: events.Event) -> list[effects.Effect]:
     """Ask a voter for the last accepted version, with full jitter."""
     config = state.config
@@ -133,10 +146,26 @@
     asking again by the clock would keep each waiting after that, for nothing.
     """
     askers = state.control.askers
-    if not message.number and len(askers) < ASKERS_MAX:
+    replica = state.control.replica
+    leads = replica is not None and replica.is_leader
+    is_told = voters_lib.leader_of(state) is not None and not leads
+    if not message.number and not is_told and len(askers) < ASKERS_MAX:
         askers[asker.instance] = asker
 
 
+def _tell_askers(state: node.Node) -> list[effects.Effect]:
+    """Name the leader to those whose question came too early for that.
+
+    This node may be a seed that votes no more and learns of the leader as
+    they do.
+    """
+    leader = voters_lib.leader_of(state)
+    if leader is None or leader == state.settings.address:
+        return []
+    askers, state.control.askers = state.control.askers, {}
+    return [reply(state, asker, False) for asker in askers.values()]
+
+
 def reply(
     state: node.Node,
     asker: address_lib.Address,
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -24,7 +24,8 @@
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.4
 INDIRECT_PROBES = 3
-JOIN_RETRY_S = 1.0
+JOIN_RETRY_S = 0.1  # Doubled with each try; seeds may be starting too.
+JOIN_RETRY_MAX_S = 2.0  # Seeds may be gone for good.
 SYNC_AFTER_MISMATCHES = 3
 PROBES_PER_RECONTACT = 20
 
@@ -211,7 +212,10 @@
     message: member_lib.SyncReply, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
     membership = state.membership
-    membership.joined = True
+    seeds = [seed.address.instance for seed in state.settings.local_seeds]
+    # A newcomer's answer says nothing of the others: two groups of nodes that
+    # start together might each take themselves for the whole.
+    membership.joined |= message.wants_reply and event.sender.instance in seeds
     membership.mismatches = 0
     mine = membership.table.in_buckets(message.buckets)
     result = gossip.merge(state, event, message.members)
@@ -231,10 +235,14 @@
     seeds = [seed.address for seed in state.settings.local_seeds]
     if not seeds:
         return []
+    membership.join_attempts += 1
+    usual_s = min(
+        JOIN_RETRY_S * 2 ** min(membership.join_attempts, 8), JOIN_RETRY_MAX_S
+    )
     draws = entropy_lib.Entropy(bits=event.entropy)
     retry = effects.SetTimer(
         timer=timers.Join(),
-        delay_s=draws.uniform(0.5 * JOIN_RETRY_S, 1.5 * JOIN_RETRY_S),
+        delay_s=draws.uniform(0.5 * usual_s, 1.5 * usual_s),
     )
     return [_sync_request(state, draws.choice(seeds)), retry]
 
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -96,7 +96,8 @@
         probes: Probes under way, by number.
         probe_number: Number of the last probe.
         probe_order: Members still to be probed in this round.
-        joined: Whether the table was synchronised with another node.
+        joined: Whether the table was synchronised with a seed.
+        join_attempts: How often that was tried.
         gossip_set: Whether the gossip timer runs.
         mismatches: Contacts in a row whose table differed.
         partitioned: Whether many members are silent at once.
@@ -111,6 +112,7 @@
     probe_number: int = 0
     probe_order: list[str] = dataclasses.field(default_factory=list)
     joined: bool = False
+    join_attempts: int = 0
     gossip_set: bool = False
     mismatches: int = 0
     partitioned: bool = False
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -64,6 +64,7 @@
         replication.link_lost(state.control.replica, event.instance)
     return [
         *attempts.link_lost(state, event),
+        *cold_start.link_lost(state, event),
         *control.drain_notices(state, event),
     ]
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -5,6 +5,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core import timers
 from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.membership import directory
 from monsoonpass.core.membership import member as member_lib
@@ -34,6 +35,16 @@
     return mesh
 
 
+def make_flat(count: int, seed_number: int) -> fake_mesh.FakeMesh:
+    """Return nodes that know the same three seeds, not started."""
+    names = [f"n{number}" for number in range(count)]
+    seeds = tuple(fake_mesh.seed(name) for name in names[:3])
+    mesh = fake_mesh.FakeMesh(seed=seed_number)
+    for number, name in enumerate(names):
+        mesh.add(name, disk=number < 3, seeds=seeds, voters=tuple(names[:3]))
+    return mesh
+
+
 def count_sends(mesh, kind) -> int:
     """Return how often a kind of message was sent by any node."""
     return sum(
@@ -182,6 +193,62 @@
             limit_s=0.8,
         )
 
+    def test_seed_that_votes_no_more_names_the_leader_too(self):
+        """Guard: `_tell_askers`, and the last line of voters.leader_of."""
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        seed = mesh.nodes["b0"]
+        node = mesh.nodes["b3"]
+        seed.state.control.leader = None
+        seed.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("b3"),
+            message=config_messages.ColdRead(),
+        )
+        node.performed.clear()
+        seed.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("v0"),
+            message=config_messages.ColdReadReply(
+                confirmed=False,
+                version=0,
+                leader=mesh.leader().settings.address,
+                voters=(),
+            ),
+        )
+        mesh.run(0.1)
+        asked = [
+            effect.to.instance
+            for effect in node.performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.ColdRead)
+        ]
+        assert asked == [mesh.leader().name]
+
+    def test_voter_that_cannot_be_reached_is_asked_again_soon(self):
+        """Guard: cold_start.link_lost."""
+        mesh = make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"a0"})
+        node = mesh.nodes["a0"]
+        node.crash()
+        node.start()
+        mesh.run(5)
+        node.performed.clear()
+        node.feed(events.LinkLost, instance="v1")
+        delays_s = [
+            effect.delay_s
+            for effect in node.performed
+            if isinstance(effect, effects.SetTimer)
+            and isinstance(effect.timer, timers.ColdStartRetry)
+        ]
+        assert len(delays_s) == 1
+        assert delays_s[0] <= 0.3
+
     def test_first_version_tells_how_long_the_node_was_without(self):
         mesh = make_two_places()
         mesh.run(6)
@@ -300,6 +367,32 @@
             expected = 15 if node.settings.data_centre == "a" else 12
             assert len(node.state.membership.table.alive()) == expected
 
+    def test_all_know_all_soon_after_a_start_together(self):
+        """Guard: the first, short join retries."""
+        known = 0
+        for seed_number in range(10):
+            mesh = make_flat(18, seed_number)
+            for node in mesh.nodes.values():
+                mesh.at(mesh.random.uniform(0.0, 0.1), node.start)
+            mesh.run(0.7)
+            known += sum(
+                len(node.state.membership.table.alive())
+                for node in mesh.nodes.values()
+            )
+        assert known > 0.98 * 10 * 18 * 18
+
+    def test_answer_of_a_newcomer_is_no_join(self):
+        """Guard: the sender in the handler of SyncReply."""
+        mesh = make_flat(6, 1)
+        mesh.nodes["n0"].start()
+        mesh.run(0.5)
+        mesh.nodes["n5"].start()
+        mesh.run(3)
+        assert not mesh.nodes["n0"].state.membership.joined
+        mesh.nodes["n1"].start()
+        mesh.run(5)
+        assert mesh.nodes["n0"].state.membership.joined
+
     def test_dead_member_is_declared_dead_and_returns(self):
         mesh = make_two_places(plain=4)
         mesh.run(6)
