--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -361,7 +361,7 @@
             (
                 *(service.digest for service in ordered),
                 b"routes",
-                *(route.digest for route in routes),
+                *[route.digest for route in routes],
                 codec.digest_form(limits),
             )
         )
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -58,7 +58,7 @@
     parts: tuple[Part, ...] = ()
     extra: str = ""
 
-    @property
+    @functools.cached_property
     def key(self) -> str:
         """What no two routes of a configuration share."""
         return f"{self.host} {self.path}"
@@ -73,7 +73,7 @@
         """Whether calls carry large bodies."""
         return self.kind == Kind.UPLOAD
 
-    @property
+    @functools.cached_property
     def services(self) -> tuple[str, ...]:
         """Names of all services that may serve it."""
         if self.parts:
@@ -167,10 +167,9 @@
     removed: tuple[str, ...],
 ) -> tuple[HostRoute, ...]:
     """Apply what `changed_and_removed` returned to the old routes."""
-    gone = set(removed)
-    newer = {route.key: route for route in changed}
-    result = []
-    for route in old:
-        if route.key not in gone:
-            result.append(newer.pop(route.key, route))
-    return (*result, *newer.values())
+    by_key = {route.key: route for route in old}
+    for key in removed:
+        by_key.pop(key, None)
+    for route in changed:
+        by_key[route.key] = route
+    return tuple(by_key.values())
