--- a/src/monsoonpass/cli/__main__.py
+++ b/src/monsoonpass/cli/__main__.py
@@ -1,6 +1,6 @@
 """Runs the daemon as `python -m monsoonpass.cli`."""
 
-from monsoonpass.cli import daemon
+from monsoonpass import start
 
 if __name__ == "__main__":
-    daemon.run()
+    start.run()
--- a/src/monsoonpass/platform/__main__.py
+++ b/src/monsoonpass/platform/__main__.py
@@ -13,9 +13,9 @@
     # not yet on the path; the folder of this file must not stay there.
     source = pathlib.Path(__file__).resolve().parents[2]
     sys.path[0] = str(source)
-    from monsoonpass.cli import daemon
+    from monsoonpass import start
 
-    return daemon.serve_file(os.environ[SETTINGS_VARIABLE])
+    return start.load().serve_file(os.environ[SETTINGS_VARIABLE])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,34 @@
+"""Tests of the start of the daemon."""
+
+import subprocess
+import sys
+
+SCRIPT = """
+import gc, sys
+from monsoonpass import start
+start.load()
+print(gc.isenabled(), gc.get_freeze_count() > 10_000)
+print([m for m in ("yaml", "opentelemetry", "httpx") if m in sys.modules])
+"""
+
+
+class TestLoad:
+    def test_modules_are_left_out_of_later_collections(self):
+        """Guard: gc.freeze and gc.enable in start.load."""
+        lines = self.run_script()
+        assert lines[0] == "True True"
+
+    def test_nothing_is_loaded_that_a_start_does_not_need(self):
+        lines = self.run_script()
+        assert lines[1] == "[]"
+
+    def run_script(self) -> list[str]:
+        """Load the daemon in a fresh process; return what it found."""
+        done = subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        return done.stdout.splitlines()
