Let the first call of a starved route wait, so that its pace is learned

Cause, found by reading: a route whose pace had once been learned longer than its objective was refused as long as no slot fell free, so nothing could tell that its wait had become short. Change: the pace binds from the second waiting call of a route on.

--- a/src/monsoonpass/core/calls/pace.py
+++ b/src/monsoonpass/core/calls/pace.py
@@ -23,8 +23,11 @@
             ahead: Calls of the route that wait already.
 
         Returns:
-            The wait in seconds; 0 if nothing is known.
+            The wait in seconds; 0 if nothing is known, and for the first that
+            waits: it tells when a starved route has room again.
         """
+        if not ahead:
+            return 0.0
         return (ahead + 1) * self._step_s.get(route, 0.0)
 
     def learn(self, route: str, ahead: int, waited_s: float) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -304,6 +304,24 @@
         assert len(held_s) > 100
         assert held_s[len(held_s) * 9 // 10] < 0.05
 
+    def test_starved_route_keeps_one_call_waiting(self):
+        """Guard: `if not ahead` in Pace.wait_s."""
+        own = make(slots=1, queue_limit=1000)
+        teach(own, "lookup", 0.02)
+        own.offer(work(1, route="other"), 0.0)
+        own.offer(work(2, route="lookup", best_before_s=0.1), 0.0)
+        own.offer(work(3, route="lookup", best_before_s=0.1), 0.0)
+        own.expire(2000.0)
+        late = work(
+            4,
+            route="lookup",
+            arrived_s=2000.0,
+            best_before_s=2000.1,
+            deadline_s=3000.0,
+        )
+        assert own.offer(late, 2000.0).refused == []
+        assert own.queued == 1
+
     def test_refusal_tells_when_the_queue_is_short_again(self):
         own = make(slots=1, queue_limit=1000)
         teach(own, "short", 0.1)
