--- /dev/null
+++ b/tests/fake_places.py
@@ -0,0 +1,51 @@
+"""Meshes of a few fake nodes in one or two places."""
+
+from monsoonpass.core import effects
+from tests import fake_mesh
+
+
+def make_two_places(
+    *, seed_number: int = 1, plain: int = 4, faults=None
+) -> fake_mesh.FakeMesh:
+    """Return three voters in place "a" and plain nodes in "a" and "b"."""
+    voters = ("v0", "v1", "v2")
+    names_a = [f"a{number}" for number in range(plain)]
+    names_b = [f"b{number}" for number in range(plain)]
+    seeds = (
+        *(fake_mesh.seed(name, "a") for name in voters),
+        *(fake_mesh.seed(name, "b") for name in names_b[:2]),
+    )
+    mesh = fake_mesh.FakeMesh(seed=seed_number, faults=faults)
+    for name in voters:
+        mesh.add(name, data_centre="a", disk=True, seeds=seeds, voters=voters)
+    for name in names_a:
+        mesh.add(name, data_centre="a", disk=False, seeds=seeds, voters=voters)
+    for name in names_b:
+        mesh.add(name, data_centre="b", disk=False, seeds=seeds, voters=voters)
+    for node in mesh.nodes.values():
+        node.start()
+    return mesh
+
+
+def make_flat(count: int, seed_number: int) -> fake_mesh.FakeMesh:
+    """Return nodes that know the same three seeds, not started."""
+    names = [f"n{number}" for number in range(count)]
+    seeds = tuple(fake_mesh.seed(name) for name in names[:3])
+    mesh = fake_mesh.FakeMesh(seed=seed_number)
+    for number, name in enumerate(names):
+        mesh.add(name, disk=number < 3, seeds=seeds, voters=tuple(names[:3]))
+    return mesh
+
+
+def count_sends(mesh, kind) -> int:
+    """Return how often a kind of message was sent by any node."""
+    return sum(
+        isinstance(effect, effects.Send) and isinstance(effect.message, kind)
+        for node in mesh.nodes.values()
+        for effect in node.performed
+    )
+
+
+def versions(mesh) -> set[int]:
+    """Return the versions in force on all nodes."""
+    return {node.state.config.version for node in mesh.nodes.values()}
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,189 @@
+"""Tests of the first version at a start: the cold read and its content."""
+
+import pytest
+
+from monsoonpass.core import effects
+from monsoonpass.core import events
+from monsoonpass.core import logbook
+from monsoonpass.core import timers
+from monsoonpass.core.distribution import config_messages
+from tests import fake_mesh
+from tests import fake_places
+
+
+class TestColdStart:
+    def test_diskless_node_serves_nothing_before_a_quorum_answers(self):
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"v0", "v1", "v2"})
+        mesh.nodes["a0"].crash()
+        mesh.nodes["a0"].start()
+        mesh.run(5)
+        assert not mesh.nodes["a0"].state.config.ready
+        mesh.cut.clear()
+        mesh.run(6)
+        assert mesh.nodes["a0"].state.config.version == 1
+
+    def test_restart_of_all_nodes_at_once(self):
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for node in mesh.nodes.values():
+            node.start()
+        mesh.run(10)
+        mesh.check_converged()
+        assert fake_places.versions(mesh) == {1}
+
+    @pytest.mark.parametrize("seed_number", range(12))
+    def test_all_serve_soon_after_all_restart(self, seed_number):
+        """Guard: the first election timer, and the askers that voters keep."""
+        mesh = fake_places.make_two_places(seed_number=seed_number)
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for node in mesh.nodes.values():
+            mesh.at(mesh.random.uniform(0.0, 0.3), node.start)
+        mesh.run(0.3)
+        assert mesh.run_until(
+            lambda: all(n.state.config.ready for n in mesh.nodes.values()),
+            limit_s=0.8,
+        )
+
+    def test_seed_that_votes_no_more_names_the_leader_too(self):
+        """Guard: `_tell_askers`, and the last line of voters.leader_of."""
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        seed = mesh.nodes["b0"]
+        node = mesh.nodes["b3"]
+        seed.state.control.leader = None
+        seed.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("b3"),
+            message=config_messages.ColdRead(),
+        )
+        node.performed.clear()
+        seed.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("v0"),
+            message=config_messages.ColdReadReply(
+                confirmed=False,
+                version=0,
+                leader=mesh.leader().settings.address,
+                voters=(),
+            ),
+        )
+        mesh.run(0.1)
+        asked = [
+            effect.to.instance
+            for effect in node.performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.ColdRead)
+        ]
+        assert asked == [mesh.leader().name]
+
+    def test_voter_that_cannot_be_reached_is_asked_again_soon(self):
+        """Guard: cold_start.link_lost."""
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"a0"})
+        node = mesh.nodes["a0"]
+        node.crash()
+        node.start()
+        mesh.run(5)
+        node.performed.clear()
+        node.feed(events.LinkLost, instance="v1")
+        delays_s = [
+            effect.delay_s
+            for effect in node.performed
+            if isinstance(effect, effects.SetTimer)
+            and isinstance(effect.timer, timers.ColdStartRetry)
+        ]
+        assert len(delays_s) == 1
+        assert delays_s[0] <= 0.3
+
+    def test_first_version_tells_how_long_the_node_was_without(self):
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        logs = [
+            effect.fields
+            for effect in mesh.nodes["a0"].performed
+            if isinstance(effect, effects.Log)
+            and effect.code is logbook.Code.VERSION_IN_FORCE
+        ]
+        assert 6.0 < logs[0]["after_start_s"] < 8.0
+
+    def test_nodes_that_wait_for_a_leader_are_answered_by_it(self):
+        """Guard: `_answer_askers`, else they ask again by the clock."""
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.crash()
+        for name, node in mesh.nodes.items():
+            if name not in ("v1", "v2"):
+                node.start()
+        mesh.run(5)
+        mesh.nodes["v1"].start()
+        assert mesh.run_until(lambda: mesh.leader() is not None, limit_s=2)
+        mesh.run(0.1)
+        plain = [n for n in mesh.nodes.values() if not n.settings.has_disk]
+        assert all(n.state.config.ready for n in plain)
+
+    def test_content_comes_from_a_peer_before_a_voter(self):
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        for node in mesh.nodes.values():
+            node.performed.clear()
+        mesh.nodes["b1"].crash()
+        mesh.nodes["b1"].start()
+        mesh.run(4)
+        assert mesh.nodes["b1"].state.config.version == 1
+        sources = {
+            node.name
+            for node in mesh.nodes.values()
+            for effect in node.performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.FetchReply)
+        }
+        assert sources <= {"b0", "b2", "b3"}
+
+    def test_reply_older_than_the_quorums_version_is_ignored(self):
+        """Guard: `not config.ready and message.version <` in FetchReply."""
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.split({"a0"})
+        mesh.submit("v0", fake_mesh.make_catalog(2, "x", "y"))
+        mesh.run(1)
+        stale = mesh.nodes["a0"].state.config.catalog.snapshot()
+        mesh.nodes["a1"].crash()
+        mesh.nodes["a1"].start()
+        node = mesh.nodes["a1"]
+        node.state.config.fetch_version = 2
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("a0"),
+            message=config_messages.FetchReply(
+                version=1, deltas=(), snapshot=stale
+            ),
+        )
+        assert not node.state.config.ready
+        mesh.run(4)
+        assert node.state.config.version == 2
--- a/tests/test_distribution_fuzz.py
+++ b/tests/test_distribution_fuzz.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from tests import fake_mesh
-from tests import test_distribution
+from tests import fake_places
 
 PLAIN = ("a0", "a1", "b0", "b1", "b2")
 ALL = ("v0", "v1", "v2", *PLAIN)
@@ -27,7 +27,7 @@
 
     @stateful.initialize(seed=st.integers(0, 2**32))
     def begin(self, seed):
-        self.mesh = test_distribution.make_two_places(seed_number=seed, plain=3)
+        self.mesh = fake_places.make_two_places(seed_number=seed, plain=3)
         self.mesh.run(5)
         self.version = 0
         self.storm(seed)
