--- a/benchmarks/served.py
+++ b/benchmarks/served.py
@@ -66,6 +66,7 @@
 LOOKUP = Kind(
     name="lookup",
     service="desk",
+    priority=1,
     mean_s=0.022,
     objective_s=0.1,
     deadline_s=0.25,
