Give a cold upstream all its slots where the rest has no room

Change: the ramp binds only for calls that may go elsewhere; those that come back, or were never sent on, get every slot that is free.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -136,7 +136,7 @@
         return (
             self.accepts
             and not self._queue
-            and len(self.in_progress) < self._usable_slots(now_s)
+            and len(self.in_progress) < self._eased_slots(now_s)
         )
 
     def offer(self, work: work_lib.Work, now_s: float) -> work_lib.Decision:
@@ -165,7 +165,9 @@
                 _refuse(work, outcome.Reason.OVERLOADED, room_s)
             )
             return decision
-        if work.reroutable and wait_s > REROUTE_WAIT_SHARE * self._times.mean_s:
+        is_eased = len(self.in_progress) >= self._eased_slots(now_s)
+        has_wait = wait_s > REROUTE_WAIT_SHARE * self._times.mean_s
+        if work.reroutable and (has_wait or is_eased):
             decision.refused.append(_refuse(work, outcome.Reason.BUSY, wait_s))
             return decision
         work.ahead = self._ahead(work)
@@ -249,7 +251,7 @@
 
     def expected_wait_s(self, work: work_lib.Work, now_s: float) -> float:
         """Estimate how long new work would wait for a slot."""
-        slots = max(self._usable_slots(now_s), 1)
+        slots = max(self._usable_slots(), 1)
         ahead = bisect.bisect_left(
             self._queue, work.order, key=lambda item: item[0]
         )
@@ -286,13 +288,21 @@
         smaller = max(self._shed_limit * SHED_FACTOR, floor)
         self._shed_limit = min(self._shed_limit, smaller)
 
-    def _usable_slots(self, now_s: float) -> int:
+    def _usable_slots(self) -> int:
         """Return the slots in use.
 
-        A cold upstream gets them step by step; one that sheds load loses a
-        part of them and gets them back as it answers.
+        An upstream that sheds load loses a part of them and gets them back as
+        it answers.
         """
-        slots = min(self.slots, int(self._shed_limit))
+        return min(self.slots, int(self._shed_limit))
+
+    def _eased_slots(self, now_s: float) -> int:
+        """Return the slots for work that has somewhere else to go.
+
+        Load pattern: a cold upstream among warm ones gets its share step by
+        step; where all are cold, a slow slot serves better than a refusal.
+        """
+        slots = self._usable_slots()
         age_s = now_s - self._ready_s
         if age_s >= self._slow_start_s:
             return slots
@@ -320,7 +330,7 @@
 
     def _fill_slots(self, decision: work_lib.Decision, now_s: float) -> None:
         self._drop_late(decision, now_s)
-        usable = self._usable_slots(now_s)
+        usable = self._usable_slots()
         long_held = sum(
             self._holds_long(w, now_s) for w in self.in_progress.values()
         )
