--- a/src/monsoonpass/core/agreement/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -243,17 +243,12 @@
 ) -> list[effects.Effect]:
     """Begin the reads that met no leader, or tell the askers who leads."""
     replica = state.control.replica
-    leads = replica.is_ready_leader
-    known = leads or (replica.leader_address and not replica.is_leader)
-    if not state.control.askers or not known:
-        return []
+    if not replica.is_ready_leader:
+        return cold_start.tell_askers(state)
     askers, state.control.askers = state.control.askers, {}
     result: list[effects.Effect] = []
     for asker in askers.values():
         token = ReadToken(asker=asker)
-        if not leads:
-            result.append(_read_reply(state, token, confirmed=False))
-            continue
         try:
             result += replication.start_read(
                 replica, token=token, now_s=event.now_s
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -34,7 +34,7 @@
     if message.voters:
         state.control.voters = message.voters
     state.control.leader = message.leader or state.control.leader
-    result = _tell_askers(state)
+    result = tell_askers(state)
     if message.number:
         return result + newest.answered(state, event, message)
     if not message.confirmed:
@@ -153,7 +153,7 @@
         askers[asker.instance] = asker
 
 
-def _tell_askers(state: node.Node) -> list[effects.Effect]:
+def tell_askers(state: node.Node) -> list[effects.Effect]:
     """Name the leader to those whose question came too early for that.
 
     This node may be a seed that votes no more and learns of the leader as
