Pass whole content on as the change that it was

Cause, found by reading while a late change was traced: a node that took whole content dropped its history, so peers that asked it next got whole content too, and dropped theirs (some 40 KB instead of 200 bytes with 300 routes). Test: fails before.

--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -242,10 +242,14 @@
     """Bring a newer version into force, with a disk once it is durable.
 
     A node that ran a version and forgot it in a crash would come back with an
-    older one, so the record comes first.
+    older one, so the record comes first. The change from the own version to a
+    whole one is worked out, since peers that lag as far ask for it next.
     """
-    if catalog.version <= state.config.newest.version:
+    newest = state.config.newest
+    if catalog.version <= newest.version:
         return []
+    if delta is None and newest.version:
+        delta = newest.delta_to(catalog)
     if not state.settings.has_disk:
         return _bring_into_force(state, event, catalog, delta)
     record: messages.InForceRecord | messages.InForceDelta
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -3,6 +3,7 @@
 import pytest
 
 from monsoonpass.core import effects
+from monsoonpass.core import events
 from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.membership import directory
 from tests import fake_mesh
@@ -44,6 +45,39 @@
         mesh.run(4)
         assert fake_places.versions(mesh) == {400}
 
+    def test_whole_content_goes_on_as_a_change(self):
+        """Guard: `delta_to` in distribution._take.
+
+        Else one node that fell far behind makes its peers fetch the whole
+        content from each other, version after version.
+        """
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        mesh.submit("v0", fake_mesh.make_catalog(1, "x", "y", "z"))
+        mesh.run(2)
+        node = mesh.nodes["a0"]
+        before = node.state.config.catalog
+        mesh.split({"a0"})
+        mesh.submit("v0", fake_mesh.make_catalog(2, "x", "y", "w"))
+        mesh.run(1)
+        whole = mesh.nodes["a1"].state.config.catalog.snapshot()
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("a1"),
+            message=config_messages.FetchReply(
+                version=2, deltas=(), snapshot=whole
+            ),
+        )
+        node.performed.clear()
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("a2"),
+            message=config_messages.Fetch(version=1, digest=before.digest),
+        )
+        reply = node.performed[0].message
+        assert reply.snapshot is None
+        assert [delta.version for delta in reply.deltas] == [2]
+
     def test_delta_that_overtakes_its_base_is_not_applied(self):
         mesh = fake_places.make_two_places(
             plain=3, faults=fake_mesh.Faults(slow=0.5, slow_s=0.8)
