Try an upstream again that was slow

Change: of calls that would be refused by that time alone, one at a time runs if a slot is free, and its time counts half.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -26,6 +26,7 @@
 RETRY_AFTER_MAX_S = 2.0  # A wave of load is over by then.
 REROUTE_WAIT_SHARE = 0.1  # Part of a service time that a hop elsewhere costs.
 SHED_FACTOR = 0.8  # Slots left after the upstream shed load.
+PROBE_WEIGHT = 0.5  # Of the time of one call when all others are refused.
 PROVED_S = 2.0  # Time for which a number of calls at once counts as proved.
 SHED_FLOOR = 0.25  # Part of the slots that are used however much it sheds.
 SLOW_START_S = 5.0
@@ -159,7 +160,10 @@
         self._count_arrival(work, now_s)
         wait_s = self.expected_wait_s(work, now_s)
         done_s = now_s + wait_s + self._expected_s(work)
-        if done_s > work.deadline_s or (wait_s and done_s > work.best_before_s):
+        latest_s = work.best_before_s if wait_s else work.latest_s
+        is_late = done_s > min(latest_s, work.deadline_s)
+        work.probes = is_late and not wait_s and not self._runs(work.route)
+        if is_late and not work.probes:
             room_s = done_s - min(work.best_before_s, work.deadline_s)
             decision.refused.append(
                 _refuse(work, outcome.Reason.OVERLOADED, room_s)
@@ -206,7 +210,10 @@
         if shed:
             self._shrink(now_s)
         elif work is not None and ok:
-            self._times.learn(work.route, service_time_s)
+            weight = service_times.SMOOTHING
+            if work.probes:
+                weight = PROBE_WEIGHT
+            self._times.learn(work.route, service_time_s, weight=weight)
             self._shed_limit += 1.0 / self._shed_limit
             self._shed_limit = min(self._shed_limit, float(self.slots))
             self._prove(work, now_s)
@@ -245,7 +252,11 @@
     def next_expiry_s(self) -> float:
         """Return when the first waiting call becomes too late."""
         return min(
-            (w.latest_s - self._expected_s(w) for _, w in self._queue),
+            (
+                w.latest_s - self._expected_s(w)
+                for _, w in self._queue
+                if not w.probes
+            ),
             default=math.inf,
         )
 
@@ -261,10 +272,22 @@
         wait_s = (ahead - free + 1) * self._times.mean_s / slots
         return max(wait_s, self._pace.wait_s(work.route, self._ahead(work)))
 
+    def _runs(self, route: str) -> bool:
+        """Return whether a call of a route is in progress.
+
+        Load pattern: an upstream that was slow for seconds. What was learned
+        then would refuse all calls of a route, and nothing would unlearn it.
+        """
+        return any(work.route == route for work in self.in_progress.values())
+
     def _ahead(self, work: work_lib.Work) -> int:
         """Return how many calls of the same route wait."""
         return sum(item.route == work.route for _, item in self._queue)
 
+    def expected_s(self, route: str) -> float:
+        """Return how long a call of a route is expected to run."""
+        return self._times.expected_s(route)
+
     def is_long(self, work: work_lib.Work) -> bool:
         """Return whether work belongs to the long class."""
         return self._times.is_long(work.route, unknown=work.bulk)
@@ -365,7 +388,8 @@
         kept = []
         for item in self._queue:
             work = item[1]
-            if now_s + self._expected_s(work) > work.latest_s:
+            is_late = now_s + self._expected_s(work) > work.latest_s
+            if is_late and not work.probes:
                 waited_s = now_s - work.arrived_s
                 self._pace.learn(work.route, work.ahead, waited_s)
                 decision.refused.append(
@@ -376,7 +400,7 @@
         self._queue = kept
 
     def _expected_s(self, work: work_lib.Work) -> float:
-        return self._times.expected_s(work.route)
+        return self.expected_s(work.route)
 
     def _count_arrival(self, work: work_lib.Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
--- a/src/monsoonpass/core/calls/service_times.py
+++ b/src/monsoonpass/core/calls/service_times.py
@@ -53,8 +53,16 @@
             return unknown
         return times.mean_s > LONG_FACTOR * self.short_s
 
-    def learn(self, route: str, service_time_s: float) -> None:
-        """Take the time that a call took."""
+    def learn(
+        self, route: str, service_time_s: float, *, weight: float = SMOOTHING
+    ) -> None:
+        """Take the time that a call took.
+
+        Args:
+            route: Its route.
+            service_time_s: Time from its dispatch to its end.
+            weight: How much it counts against what is known, up to 1.
+        """
         times = self._routes.get(route)
         if times is None:
             if len(self._routes) >= ROUTES_MAX:
@@ -64,7 +72,7 @@
         times.count += 1
         # A straggler must not make its whole route look long.
         sample_s = min(service_time_s, STRAGGLER_FACTOR * times.mean_s)
-        times.mean_s += SMOOTHING * (sample_s - times.mean_s)
+        times.mean_s += weight * (sample_s - times.mean_s)
         times.recent += 1.0
         self.mean_s += SMOOTHING * (service_time_s - self.mean_s)
         self._learned += 1
--- a/src/monsoonpass/core/calls/work.py
+++ b/src/monsoonpass/core/calls/work.py
@@ -26,6 +26,7 @@
         best_before_s: When its answer is worth most; infinite if always.
         beside: Calls in progress when it got a slot, itself included.
         ahead: Calls of its route that waited when it came.
+        probes: Whether it runs to learn how long its route takes now.
     """
 
     work_id: int
@@ -41,6 +42,7 @@
     best_before_s: float = math.inf
     beside: int = 0
     ahead: int = 0
+    probes: bool = False
 
     @property
     def latest_s(self) -> float:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -317,6 +317,40 @@
         assert len(held_s) > 100
         assert held_s[len(held_s) * 9 // 10] < 0.05
 
+    def test_upstream_that_was_slow_is_tried_again(self):
+        """Replays an upstream that is slow for seconds, then sound.
+
+        Guard: `probes` in Admission.offer and _drop_late.
+        """
+        own = make(slots=4, queue_limit=1000)
+        teach(own, "short", 5.0)
+        served = 0
+        for number in range(2000, 2010):
+            now_s = number * 0.1
+            item = work(
+                number,
+                arrived_s=now_s,
+                best_before_s=now_s + 0.3,
+                deadline_s=now_s + 1.2,
+            )
+            for done in own.offer(item, now_s).dispatch:
+                served += 1
+                own.finish(
+                    done.work_id, service_time_s=0.1, ok=True, now_s=now_s
+                )
+        assert served == 10
+        assert own.expected_s("short") < 0.3
+
+    def test_slow_upstream_gets_one_call_of_a_route_at_a_time(self):
+        own = make(slots=4, queue_limit=1000)
+        teach(own, "short", 5.0)
+        results = [
+            own.offer(work(number, best_before_s=0.3, deadline_s=1.2), 0.0)
+            for number in range(3)
+        ]
+        assert [len(result.dispatch) for result in results] == [1, 0, 0]
+        assert [len(result.refused) for result in results] == [0, 1, 1]
+
     def test_starved_route_keeps_one_call_waiting(self):
         """Guard: `if not ahead` in Pace.wait_s."""
         own = make(slots=1, queue_limit=1000)
