--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -17,6 +17,7 @@
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import pace as pace_lib
 from monsoonpass.core.calls import service_times
+from monsoonpass.core.calls import slots as slots_lib
 from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.membership import member as member_lib
 
@@ -25,12 +26,7 @@
 RETRY_AFTER_MIN_S = 0.1  # Less than that and a caller meets the same queue.
 RETRY_AFTER_MAX_S = 2.0  # A wave of load is over by then.
 REROUTE_WAIT_SHARE = 0.1  # Part of a service time that a hop elsewhere costs.
-SHED_FACTOR = 0.8  # Slots left after the upstream shed load.
 PROBE_WEIGHT = 0.5  # Of the time of one call when all others are refused.
-PROVED_S = 2.0  # Time for which a number of calls at once counts as proved.
-SHED_FLOOR = 0.25  # Part of the slots that are used however much it sheds.
-SLOW_START_S = 5.0
-SLOW_START_SHARE = 0.25
 
 
 class Admission:
@@ -38,7 +34,6 @@
 
     Attributes:
         service: Name of the service, or empty without an upstream.
-        slots: Calls that the upstream runs at once.
         upstream: What the upstream announced.
         in_progress: Calls that hold a slot, by work id.
         queue_limit: Calls that may wait.
@@ -48,7 +43,7 @@
 
     def __init__(self, *, queue_limit: int = 256):
         self.service = ""
-        self.slots = 0
+        self._slots = slots_lib.Slots()
         self.upstream = member_lib.UpstreamState.NONE
         self.in_progress: dict[int, work_lib.Work] = {}
         self.queue_limit = queue_limit
@@ -60,11 +55,11 @@
         self._short_rates: dict[int, float] = {}
         self._short_seen: dict[int, int] = {}
         self._window_start_s = 0.0
-        self._ready_s = -math.inf
-        self._slow_start_s = SLOW_START_S
-        self._shed_limit = math.inf
-        self._proved_slots = 0
-        self._proved_s = -math.inf
+
+    @property
+    def slots(self) -> int:
+        """Calls that the upstream says it runs at once."""
+        return self._slots.announced
 
     @property
     def queued(self) -> int:
@@ -127,17 +122,14 @@
         self.upstream = member_lib.UpstreamState.READY
         if not fresh and slots == self.slots:
             return
-        self.slots = slots
-        self._shed_limit = float(slots)
-        self._ready_s = now_s if cold else -math.inf
-        self._slow_start_s = cold_s or SLOW_START_S
+        self._slots.announce(slots, cold=cold, cold_s=cold_s, now_s=now_s)
 
     def has_free_slot(self, now_s: float) -> bool:
         """Return whether short work would be dispatched at once."""
         return (
             self.accepts
             and not self._queue
-            and len(self.in_progress) < self._eased_slots(now_s)
+            and len(self.in_progress) < self._slots.eased(now_s)
         )
 
     def offer(self, work: work_lib.Work, now_s: float) -> work_lib.Decision:
@@ -169,7 +161,7 @@
                 _refuse(work, outcome.Reason.OVERLOADED, room_s)
             )
             return decision
-        is_eased = len(self.in_progress) >= self._eased_slots(now_s)
+        is_eased = len(self.in_progress) >= self._slots.eased(now_s)
         has_wait = wait_s > REROUTE_WAIT_SHARE * self._times.mean_s
         if work.reroutable and (has_wait or is_eased):
             decision.refused.append(_refuse(work, outcome.Reason.BUSY, wait_s))
@@ -208,15 +200,13 @@
         decision = work_lib.Decision()
         work = self.in_progress.pop(work_id, None)
         if shed:
-            self._shrink(now_s)
+            self._slots.shed(now_s)
         elif work is not None and ok:
             weight = service_times.SMOOTHING
             if work.probes:
                 weight = PROBE_WEIGHT
             self._times.learn(work.route, service_time_s, weight=weight)
-            self._shed_limit += 1.0 / self._shed_limit
-            self._shed_limit = min(self._shed_limit, float(self.slots))
-            self._prove(work, now_s)
+            self._slots.answered(work.beside, now_s)
         self._fill_slots(decision, now_s)
         return decision
 
@@ -262,7 +252,7 @@
 
     def expected_wait_s(self, work: work_lib.Work, now_s: float) -> float:
         """Estimate how long new work would wait for a slot."""
-        slots = max(self._usable_slots(), 1)
+        slots = max(self._slots.usable, 1)
         ahead = bisect.bisect_left(
             self._queue, work.order, key=lambda item: item[0]
         )
@@ -292,48 +282,6 @@
         """Return whether work belongs to the long class."""
         return self._times.is_long(work.route, unknown=work.bulk)
 
-    def _prove(self, work: work_lib.Work, now_s: float) -> None:
-        """Note how many calls the upstream was seen to run at once."""
-        is_old = now_s - self._proved_s > PROVED_S
-        if is_old or work.beside >= self._proved_slots:
-            self._proved_slots = work.beside
-            self._proved_s = now_s
-
-    def _shrink(self, now_s: float) -> None:
-        """Give an upstream that sheds fewer calls at once.
-
-        One that turns calls away at random still runs others beside as many;
-        fewer slots would only turn more away.
-        """
-        floor = self.slots * SHED_FLOOR
-        if now_s - self._proved_s <= PROVED_S:
-            floor = max(floor, float(self._proved_slots))
-        smaller = max(self._shed_limit * SHED_FACTOR, floor)
-        self._shed_limit = min(self._shed_limit, smaller)
-
-    def _usable_slots(self) -> int:
-        """Return the slots in use.
-
-        An upstream that sheds load loses a part of them and gets them back as
-        it answers.
-        """
-        return min(self.slots, int(self._shed_limit))
-
-    def _eased_slots(self, now_s: float) -> int:
-        """Return the slots for work that has somewhere else to go.
-
-        Load pattern: a cold upstream among warm ones gets its share step by
-        step; where all are cold, a slow slot serves better than a refusal.
-        """
-        slots = self._usable_slots()
-        age_s = now_s - self._ready_s
-        if age_s >= self._slow_start_s:
-            return slots
-        share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * (
-            age_s / self._slow_start_s
-        )
-        return max(1, int(slots * share))
-
     def _reserved_for_short(self, priority: int) -> int:
         """Return the slots that long work leaves free (Little's law).
 
@@ -353,7 +301,7 @@
 
     def _fill_slots(self, decision: work_lib.Decision, now_s: float) -> None:
         self._drop_late(decision, now_s)
-        usable = self._usable_slots()
+        usable = self._slots.usable
         long_held = sum(
             self._holds_long(w, now_s) for w in self.in_progress.values()
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from monsoonpass.core.calls import admission
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import slots as slots_lib
 from monsoonpass.core.calls import work as work_lib
 
 
@@ -58,14 +59,14 @@
             own.offer(work(number, reroutable=True), 0.0)
         assert len(own.in_progress) == 2
         for number in range(8, 16):
-            now_s = admission.SLOW_START_S
+            now_s = slots_lib.SLOW_START_S
             own.offer(work(number, reroutable=True), now_s)
         assert len(own.in_progress) == 8
 
     def test_cold_upstream_runs_what_has_nowhere_else_to_go(self):
         """Replays a service whose upstreams have all just started.
 
-        Guard: `_usable_slots`, without the ramp, in _fill_slots.
+        Guard: `usable`, without the ramp, in Admission._fill_slots.
         """
         own = admission.Admission()
         own.announce(service="shop", slots=8, cold=True, now_s=0.0)
@@ -197,7 +198,7 @@
     def test_upstream_that_sheds_at_random_keeps_its_slots(self):
         """Replays a full upstream that turns half of its calls away.
 
-        Guard: the floor of proved slots in Admission._shrink.
+        Guard: the floor of proved slots in Slots.shed.
         """
         own = make(slots=8, queue_limit=1000)
         running = []
