--- a/src/monsoonpass/core/agreement/control.py
+++ b/src/monsoonpass/core/agreement/control.py
@@ -1,10 +1,4 @@
-"""The node's part in the control group: formation, upkeep and reads.
-
-Bootstrap voters with empty disks form a group only when every one of them has
-answered that it has none; the one whose name sorts first then proposes the
-members. A disk that was emptied later has a new identity, so it can only join
-as a learner.
-"""
+"""The node's part in the control group: its replica, upkeep and reads."""
 
 import dataclasses
 from typing import Any
--- a/src/monsoonpass/core/agreement/voters.py
+++ b/src/monsoonpass/core/agreement/voters.py
@@ -34,13 +34,18 @@
     leader = leader_of(state)
     if tries == 0 and leader is not None and leader.instance != own:
         return leader
-    voters = known_voters(state)
-    others = [voter for voter in voters if voter.instance != own]
+    others = other_voters(state)
     if not others:
         return None
     return entropy_lib.Entropy(bits=event.entropy).choice(others)
 
 
+def other_voters(state: node.Node) -> list[address_lib.Address]:
+    """Return where the voters are, without this node."""
+    own = state.settings.address.instance
+    return [voter for voter in known_voters(state) if voter.instance != own]
+
+
 def known_voters(state: node.Node) -> tuple[address_lib.Address, ...]:
     """Return where the voters are: as last told, else from the settings."""
     replica = state.control.replica
--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -69,10 +69,7 @@
     @property
     def accepts(self) -> bool:
         """Whether new work may be admitted at all."""
-        return self.upstream in (
-            member_lib.UpstreamState.READY,
-            member_lib.UpstreamState.STARTING,
-        )
+        return self.upstream.takes_work
 
     @property
     def is_idle(self) -> bool:
@@ -150,8 +147,9 @@
             decision.refused.append(_refuse(work, reason, None))
             return decision
         self._count_arrival(work, now_s)
-        wait_s = self.expected_wait_s(work, now_s)
-        done_s = now_s + wait_s + self._expected_s(work)
+        work.ahead = sum(item.route == work.route for _, item in self._queue)
+        wait_s = self.expected_wait_s(work)
+        done_s = now_s + wait_s + self.expected_s(work.route)
         latest_s = work.best_before_s if wait_s else work.latest_s
         is_late = done_s > min(latest_s, work.deadline_s)
         work.probes = is_late and not wait_s and not self._runs(work.route)
@@ -166,7 +164,6 @@
         if work.reroutable and (has_wait or is_eased):
             decision.refused.append(_refuse(work, outcome.Reason.BUSY, wait_s))
             return decision
-        work.ahead = self._ahead(work)
         bisect.insort(self._queue, (work.order, work))
         self._fill_slots(decision, now_s)
         if len(self._queue) > self.queue_limit:
@@ -243,14 +240,14 @@
         """Return when the first waiting call becomes too late."""
         return min(
             (
-                w.latest_s - self._expected_s(w)
+                w.latest_s - self.expected_s(w.route)
                 for _, w in self._queue
                 if not w.probes
             ),
             default=math.inf,
         )
 
-    def expected_wait_s(self, work: work_lib.Work, now_s: float) -> float:
+    def expected_wait_s(self, work: work_lib.Work) -> float:
         """Estimate how long new work would wait for a slot."""
         slots = max(self._slots.usable, 1)
         ahead = bisect.bisect_left(
@@ -260,7 +257,7 @@
         if free > ahead:
             return 0.0
         wait_s = (ahead - free + 1) * self._times.mean_s / slots
-        return max(wait_s, self._pace.wait_s(work.route, self._ahead(work)))
+        return max(wait_s, self._pace.wait_s(work.route, work.ahead))
 
     def _runs(self, route: str) -> bool:
         """Return whether a call of a route is in progress.
@@ -270,10 +267,6 @@
         """
         return any(work.route == route for work in self.in_progress.values())
 
-    def _ahead(self, work: work_lib.Work) -> int:
-        """Return how many calls of the same route wait."""
-        return sum(item.route == work.route for _, item in self._queue)
-
     def expected_s(self, route: str) -> float:
         """Return how long a call of a route is expected to run."""
         return self._times.expected_s(route)
@@ -328,7 +321,7 @@
         A call of a short route that straggles counts too.
         """
         limit_s = service_times.LONG_FACTOR * max(
-            self._times.short_s, self._expected_s(work)
+            self._times.short_s, self.expected_s(work.route)
         )
         return work.is_long or now_s - work.dispatched_s > limit_s
 
@@ -336,7 +329,7 @@
         kept = []
         for item in self._queue:
             work = item[1]
-            is_late = now_s + self._expected_s(work) > work.latest_s
+            is_late = now_s + self.expected_s(work.route) > work.latest_s
             if is_late and not work.probes:
                 waited_s = now_s - work.arrived_s
                 self._pace.learn(work.route, work.ahead, waited_s)
@@ -347,9 +340,6 @@
                 kept.append(item)
         self._queue = kept
 
-    def _expected_s(self, work: work_lib.Work) -> float:
-        return self.expected_s(work.route)
-
     def _count_arrival(self, work: work_lib.Work, now_s: float) -> None:
         elapsed_s = now_s - self._window_start_s
         if elapsed_s >= RATE_WINDOW_S:
--- a/src/monsoonpass/core/calls/pace.py
+++ b/src/monsoonpass/core/calls/pace.py
@@ -5,6 +5,8 @@
 is overtaken while it waits. The waits of those before it tell.
 """
 
+from monsoonpass.core import bounded
+
 SMOOTHING = 0.3  # Weight of a new wait; the crest of a wave takes seconds.
 ROUTES_MAX = 4096  # Routes whose pace is remembered.
 
@@ -41,7 +43,6 @@
         step_s = waited_s / (ahead + 1)
         known_s = self._step_s.get(route)
         if known_s is None:
-            if len(self._step_s) >= ROUTES_MAX:
-                self._step_s.pop(next(iter(self._step_s)))
+            bounded.make_room(self._step_s, ROUTES_MAX)
             known_s = step_s
         self._step_s[route] = known_s + SMOOTHING * (step_s - known_s)
--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -149,7 +149,7 @@
     group = state.membership.table.by_service.get(service, {})
     usable = []
     for member in group.values():
-        if member.instance in tried or not serves(member):
+        if member.instance in tried or not member.upstream.takes_work:
             continue
         link_s = _link_s(state, member)
         candidate = Candidate(address=member.address, link_s=link_s)
@@ -168,14 +168,6 @@
     return SAME_REGION_S if member.region == own.region else OTHER_REGION_S
 
 
-def serves(member: member_lib.Member) -> bool:
-    """Return whether a member's upstream takes new work."""
-    return member.upstream in (
-        member_lib.UpstreamState.READY,
-        member_lib.UpstreamState.STARTING,
-    )
-
-
 def _without_ejected(
     state: node.Node,
     candidates: list[tuple[Candidate, member_lib.Member]],
--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from monsoonpass.core import bounded
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import shares as shares_lib
 
@@ -106,8 +107,7 @@
         """Return what is known of an instance, new if nothing is."""
         peer = self.peers.get(instance)
         if peer is None:
-            if len(self.peers) >= PEERS_MAX:
-                self.peers.pop(next(iter(self.peers)))
+            bounded.make_room(self.peers, PEERS_MAX)
             peer = Peer(first_seen_s=now_s)
             self.peers[instance] = peer
         return peer
--- a/src/monsoonpass/core/calls/service_times.py
+++ b/src/monsoonpass/core/calls/service_times.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from monsoonpass.core import bounded
+
 SMOOTHING = 0.1  # Weight of a new sample.
 LONG_FACTOR = 4.0  # Routes that take so much longer than usual are long.
 DEFAULT_SERVICE_TIME_S = 0.01  # Before anything is learned.
@@ -65,8 +67,7 @@
         """
         times = self._routes.get(route)
         if times is None:
-            if len(self._routes) >= ROUTES_MAX:
-                self._routes.pop(next(iter(self._routes)))
+            bounded.make_room(self._routes, ROUTES_MAX)
             times = RouteTimes(mean_s=service_time_s)
             self._routes[route] = times
         times.count += 1
--- a/src/monsoonpass/core/calls/shares.py
+++ b/src/monsoonpass/core/calls/shares.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from monsoonpass.core import bounded
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import host_route
@@ -44,8 +45,7 @@
     parts = match.route.parts
     known = turns.get(match.name)
     if known is None or known.parts != parts:
-        if len(turns) >= ROUTES_MAX:
-            turns.pop(next(iter(turns)))
+        bounded.make_room(turns, ROUTES_MAX)
         known = _start(parts, entropy)
         turns[match.name] = known
     total = sum(part.weight for part in parts)
--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -255,6 +255,11 @@
             limits=self.limits,
         )
 
+    @functools.cached_property
+    def size_bytes(self) -> int:
+        """Size of the whole content as it is sent."""
+        return len(codec.digest_form(self.snapshot()))
+
     def delta_to(self, newer: "Catalog") -> Delta:
         """Return the change from this catalog to a newer one."""
         changed = tuple(
--- a/src/monsoonpass/core/distribution/catch_up.py
+++ b/src/monsoonpass/core/distribution/catch_up.py
@@ -49,14 +49,13 @@
         return messages.FetchReply(
             version=config.version, deltas=(), snapshot=None
         )
-    snapshot = config.catalog.snapshot()
     chain = _chain_from(config, request)
-    if chain and _size(chain) < len(codec.digest_form(snapshot)):
+    if chain and _size(chain) < config.catalog.size_bytes:
         return messages.FetchReply(
             version=config.version, deltas=chain, snapshot=None
         )
     return messages.FetchReply(
-        version=config.version, deltas=(), snapshot=snapshot
+        version=config.version, deltas=(), snapshot=config.catalog.snapshot()
     )
 
 
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -69,8 +69,10 @@
 
 def link_lost(state: node.Node, event: events.LinkLost) -> list[effects.Effect]:
     """Ask again soon, without a version, when a voter cannot be reached."""
-    voters = {v.instance for v in voters_lib.known_voters(state)}
-    if state.config.ready or event.instance not in voters:
+    if state.config.ready:
+        return []
+    voters = voters_lib.known_voters(state)
+    if all(voter.instance != event.instance for voter in voters):
         return []
     draws = entropy_lib.Entropy(bits=event.entropy)
     delay_s = draws.uniform(REDIAL_S, 2.0 * REDIAL_S)
@@ -94,9 +96,7 @@
     replica = state.control.replica
     if replica is not None and replica.is_ready_leader:
         return [effects.Send(to=own, message=messages.ColdRead()), retry]
-    voters = [
-        v for v in voters_lib.known_voters(state) if v.instance != own.instance
-    ]
+    voters = voters_lib.other_voters(state)
     if not voters:
         return [retry]
     to = draws.choice(voters)
@@ -109,12 +109,7 @@
     A peer may be as cold as this node, so the next attempt goes to the voter
     that confirmed the version.
     """
-    own = state.settings.address.instance
-    peers = [
-        member.address
-        for member in state.membership.table.alive()
-        if member.instance != own
-    ]
+    peers = [member.address for member in state.membership.alive_others]
     if state.config.cold_attempts > 1 or not peers:
         return event.sender
     return entropy_lib.Entropy(bits=event.entropy).choice(peers)
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -110,7 +110,7 @@
 def _(
     message: messages.Push, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
-    """Apply a pushed version and pass it on to this node's children."""
+    """Apply a pushed version and pass it on to those below this node."""
     config = state.config
     delta = message.delta
     own = state.settings.address.instance
@@ -223,11 +223,10 @@
     A suspect is mostly alive behind a busy link, and must learn too; it comes
     last, so that few depend on it.
     """
-    own = state.settings.address.instance
     salt = f"push/{version}"
     suspect = member_lib.MemberState.SUSPECT
     ordered = sorted(
-        (m for m in state.membership.table.present() if m.instance != own),
+        state.membership.present_others,
         key=lambda m: (
             m.state is suspect,
             member_table.rank(m.instance, salt),
@@ -320,12 +319,7 @@
     A leader that has just restarted knows few members, so its tree is short.
     """
     state.config.hint_set = False
-    own = state.settings.address.instance
-    others = [
-        member.address
-        for member in state.membership.table.present()
-        if member.instance != own
-    ]
+    others = [member.address for member in state.membership.present_others]
     hint = messages.VersionHint(version=state.config.version)
     draws = entropy_lib.Entropy(bits=event.entropy)
     return [
--- a/src/monsoonpass/core/distribution/survey.py
+++ b/src/monsoonpass/core/distribution/survey.py
@@ -9,6 +9,7 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import bounded
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
@@ -164,8 +165,7 @@
 
 @step.step.register
 def _(event: SurveyRequested, state: node.Node) -> list[effects.Effect]:
-    if len(state.surveys) >= SURVEYS_MAX:
-        state.surveys.pop(next(iter(state.surveys)))
+    bounded.make_room(state.surveys, SURVEYS_MAX)
     number = _next_number(state)
     others = sorted(state.directory.contacts)
     state.surveys[number] = TotalSurvey(
--- a/src/monsoonpass/core/membership/directory.py
+++ b/src/monsoonpass/core/membership/directory.py
@@ -11,13 +11,13 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import bounded
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
 from monsoonpass.core import timers
-from monsoonpass.core.calls import routing
 from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import member_table
@@ -139,8 +139,7 @@
     directory = state.directory
     if not directory.contacts:
         return []
-    if len(directory.wanted_s) >= SERVICES_MAX:
-        directory.wanted_s.pop(next(iter(directory.wanted_s)))
+    bounded.make_room(directory.wanted_s, SERVICES_MAX)
     directory.wanted_s[service] = event.now_s
     asked_s = directory.asked_s.get(service, float("-inf"))
     if event.now_s - asked_s < ENDPOINTS_FRESH_S:
@@ -313,7 +312,7 @@
     state: node.Node, event: events.Event, service: str
 ) -> tuple[member_lib.Member, ...]:
     group = state.membership.table.by_service.get(service, {})
-    serving = [m for m in group.values() if routing.serves(m)]
+    serving = [m for m in group.values() if m.upstream.takes_work]
     draws = entropy_lib.Entropy(bits=event.entropy)
     return tuple(draws.sample(serving, ENDPOINTS_MAX))
 
--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -143,10 +143,7 @@
 
 
 def _gossip(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    own = state.settings.address.instance
-    others = [
-        m.address for m in state.membership.table.alive() if m.instance != own
-    ]
+    others = [m.address for m in state.membership.alive_others]
     draws = entropy_lib.Entropy(bits=event.entropy)
     result: list[effects.Effect] = []
     for to in draws.sample(others, GOSSIP_FAN_OUT):
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -24,6 +24,11 @@
     READY = 2
     DRAINING = 3
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether it may be given new work."""
+        return self in (UpstreamState.READY, UpstreamState.STARTING)
+
 
 @codec.register(50)
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -108,9 +108,8 @@
     pending.indirect = True
     helpers = [
         m.address
-        for m in membership.table.alive()
-        if m.instance
-        not in (pending.target.instance, state.settings.address.instance)
+        for m in membership.alive_others
+        if m.instance != pending.target.instance
     ]
     chosen = entropy_lib.Entropy(bits=event.entropy).sample(
         helpers, INDIRECT_PROBES
@@ -285,14 +284,9 @@
 ) -> address_lib.Address | None:
     """Return the next member to probe, in rounds of random order."""
     membership = state.membership
-    own = state.settings.address.instance
     while True:
         if not membership.probe_order:
-            names = [
-                m.instance
-                for m in membership.table.present()
-                if m.instance != own
-            ]
+            names = [m.instance for m in membership.present_others]
             draws = entropy_lib.Entropy(bits=event.entropy)
             membership.probe_order = draws.sample(names, len(names))
             if not names:
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -117,6 +117,21 @@
     mismatches: int = 0
     partitioned: bool = False
 
+    @property
+    def alive_others(self) -> list[member_lib.Member]:
+        """The other members that are not even suspected."""
+        return self._others(self.table.alive())
+
+    @property
+    def present_others(self) -> list[member_lib.Member]:
+        """The other members that are alive or suspected."""
+        return self._others(self.table.present())
+
+    def _others(
+        self, members: list[member_lib.Member]
+    ) -> list[member_lib.Member]:
+        return [m for m in members if m.instance != self.own.instance]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Staged:
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -17,6 +17,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
+from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.distribution import newest
 from monsoonpass.core.distribution import submission
@@ -148,15 +149,7 @@
             ]
             content = json.dumps({"status": "invalid", "issues": issues})
             raise Answer(422, content.encode()) from error
-        reply = await self._ask(
-            events.SubmitRequested, snapshot=catalog.snapshot()
-        )
-        result = models.SubmitResult(
-            status=str(reply.status), version=reply.version
-        )
-        return Answer(
-            STATUS_CODES[reply.status], result.model_dump_json().encode()
-        )
+        return await self._submit_catalog(catalog, submission.ANY_BASE)
 
     async def _replace(self, scope: dict[str, Any], body: bytes) -> Answer:
         """Submit a document that replaces a certain version."""
@@ -168,10 +161,16 @@
             catalog = operator_document.compile_document(body)
         except errors.TextError as error:
             raise _failure(400, "invalid", str(error)) from error
+        base_version = int(base) if base else submission.ANY_BASE
+        return await self._submit_catalog(catalog, base_version)
+
+    async def _submit_catalog(
+        self, catalog: catalog_lib.Catalog, base_version: int
+    ) -> Answer:
         reply = await self._ask(
             events.SubmitRequested,
             snapshot=catalog.snapshot(),
-            base_version=int(base) if base else submission.ANY_BASE,
+            base_version=base_version,
         )
         result = models.SubmitResult(
             status=str(reply.status), version=reply.version
