Take out what nothing uses; give tests that begin alike one scene

Cause, found by reading: a peer's first time was kept and never read, and three counts took the time only for it; a received body could be asked for in part, which nobody did; the own upstream's credit passed a size that was not used. Eleven tests set up the same places with version 1, two sent the same chunks. Assertions are as they were.

--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -200,7 +200,7 @@
         )
         decision = state.admission.offer(work, event.now_s)
         return [*perform(state, event, decision), *_arm_hedge(state, call)]
-    state.routing.sent(choice.instance, event.now_s)
+    state.routing.sent(choice.instance)
     left_s = call.deadline_s - event.now_s - choice.link_s - HOP_MARGIN_S
     forward = effects.Forward(
         call_id=call.call_id,
@@ -286,7 +286,7 @@
     table.reported(attempt.instance, event.load, event.now_s)
     latency_s = event.now_s - attempt.started_s
     if event.failure is None:
-        table.answered(attempt.instance, latency_s, event.now_s)
+        table.answered(attempt.instance, latency_s)
         table.median(call.route_name).add(latency_s)
     elif event.failure.reason in (
         Reason.LINK_LOST,
@@ -295,7 +295,7 @@
         table.failed(attempt.instance, event.now_s)
         table.unreachable(attempt.instance, event.now_s)
     elif event.failure.outcome is call_lib.NOT_RUN:
-        table.refused(attempt.instance, event.now_s)
+        table.refused(attempt.instance)
     else:
         table.failed(attempt.instance, event.now_s)
 
@@ -326,7 +326,7 @@
             else:
                 result.append(effects.AbortDispatch(work_id=call.call_id))
         else:
-            state.routing.refused(attempt.instance, event.now_s)
+            state.routing.refused(attempt.instance)
             result.append(
                 effects.CancelForward(call_id=call.call_id, attempt=number)
             )
--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -24,7 +24,6 @@
     """One upstream instance as seen from here.
 
     Attributes:
-        first_seen_s: When it was first used or known.
         in_flight: Calls of this node that it has not answered.
         load: The load it reported last.
         load_s: When it reported.
@@ -35,7 +34,6 @@
         ejected_until_s: No calls before this time.
     """
 
-    first_seen_s: float
     in_flight: int = 0
     load: outcome.Load | None = None
     load_s: float = -math.inf
@@ -103,12 +101,12 @@
         self.parked: dict[str, list[int]] = {}
         self.shares: dict[str, shares_lib.Turns] = {}
 
-    def peer(self, instance: str, now_s: float) -> Peer:
+    def peer(self, instance: str) -> Peer:
         """Return what is known of an instance, new if nothing is."""
         peer = self.peers.get(instance)
         if peer is None:
             bounded.make_room(self.peers, PEERS_MAX)
-            peer = Peer(first_seen_s=now_s)
+            peer = Peer()
             self.peers[instance] = peer
         return peer
 
@@ -134,9 +132,9 @@
         """Return the median latency of a route."""
         return self.medians.setdefault(route, MedianLatency())
 
-    def sent(self, instance: str, now_s: float) -> None:
+    def sent(self, instance: str) -> None:
         """Count a call that was forwarded."""
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.in_flight += 1
         peer.sent_since += 1
 
@@ -146,14 +144,14 @@
         """Take the load that an answer carried."""
         if load is None:
             return
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.load = load
         peer.load_s = now_s
         peer.sent_since = 0
 
-    def answered(self, instance: str, latency_s: float, now_s: float) -> None:
+    def answered(self, instance: str, latency_s: float) -> None:
         """Count a whole answer."""
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.in_flight = max(peer.in_flight - 1, 0)
         peer.failures = 0
         peer.ejections = 0
@@ -161,14 +159,14 @@
             peer.latency_s = latency_s
         peer.latency_s += SMOOTHING * (latency_s - peer.latency_s)
 
-    def refused(self, instance: str, now_s: float) -> None:
+    def refused(self, instance: str) -> None:
         """Count a refusal, which says nothing against the upstream."""
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.in_flight = max(peer.in_flight - 1, 0)
 
     def failed(self, instance: str, now_s: float) -> None:
         """Count a failure; several in a row eject the instance."""
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.in_flight = max(peer.in_flight - 1, 0)
         peer.failures += 1
         if peer.failures >= FAILURES_TO_EJECT:
@@ -179,7 +177,7 @@
 
     def unreachable(self, instance: str, now_s: float) -> None:
         """Eject an instance whose node cannot be reached, for a moment."""
-        peer = self.peer(instance, now_s)
+        peer = self.peer(instance)
         peer.ejected_until_s = max(peer.ejected_until_s, now_s + EJECT_S)
 
     def predict_s(self, instance: str, link_s: float, now_s: float) -> float:
--- a/src/monsoonpass/runtime/front.py
+++ b/src/monsoonpass/runtime/front.py
@@ -195,7 +195,6 @@
         self,
         exchange: exchange_lib.Exchange,
         pipe: body_lib.Pipe,
-        size_bytes: int,
     ) -> None:
         """Move the rest of a request's body into a local pipe."""
         if exchange.streaming:
--- a/src/monsoonpass/runtime/local_sink.py
+++ b/src/monsoonpass/runtime/local_sink.py
@@ -15,7 +15,6 @@
         self,
         exchange: exchange_lib.Exchange,
         pipe: body_lib.Pipe,
-        size_bytes: int,
     ) -> None:
         """Move the rest of a request's body into a local pipe."""
 
@@ -41,7 +40,7 @@
 
     def request_credit(self, size_bytes: int) -> None:
         """Take more of the request's body from the caller."""
-        self._front.feed_body(self._exchange, self._pipe, size_bytes)
+        self._front.feed_body(self._exchange, self._pipe)
 
     async def whole(
         self, status: int, headers: Any, body: bytes, digest: bytes
--- a/src/monsoonpass/runtime/upstream.py
+++ b/src/monsoonpass/runtime/upstream.py
@@ -179,31 +179,6 @@
                 if told:
                     self.idle_max_s = int(told[1]) * IDLE_SHARE
 
-    def try_receive_all(self, limit_bytes: int) -> tuple[bytes, bool]:
-        """Return the body as far as it has already been received.
-
-        Args:
-            limit_bytes: Stop after this many bytes.
-
-        Returns:
-            The bytes, and whether the body has ended.
-
-        Raises:
-            UpstreamBrokenError: The answer is malformed.
-        """
-        parts = []
-        size_bytes = 0
-        while size_bytes < limit_bytes:
-            event = self._parse()
-            if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size_bytes += len(parts[-1])
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts), True
-            else:
-                break
-        return b"".join(parts), False
-
     def finish(self, now_s: float) -> None:
         """Make the connection ready for another request if HTTP allows."""
         if self._h11.trailing_data != (b"", False):
--- a/tests/fake_places.py
+++ b/tests/fake_places.py
@@ -27,6 +27,19 @@
     return mesh
 
 
+def make_serving_places(**options) -> fake_mesh.FakeMesh:
+    """Return two places in which version 1, with service "x", is in force.
+
+    Args:
+        **options: As for `make_two_places`.
+    """
+    mesh = make_two_places(**options)
+    mesh.run(6)
+    mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
+    mesh.run(2)
+    return mesh
+
+
 def make_flat(count: int, seed_number: int) -> fake_mesh.FakeMesh:
     """Return nodes that know the same three seeds, not started."""
     names = [f"n{number}" for number in range(count)]
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -13,10 +13,7 @@
 
 class TestColdStart:
     def test_diskless_node_serves_nothing_before_a_quorum_answers(self):
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         mesh.split({"v0", "v1", "v2"})
         mesh.nodes["a0"].crash()
         mesh.nodes["a0"].start()
@@ -27,10 +24,7 @@
         assert mesh.nodes["a0"].state.config.version == 1
 
     def test_restart_of_all_nodes_at_once(self):
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         for node in mesh.nodes.values():
             node.crash()
         for node in mesh.nodes.values():
@@ -42,10 +36,7 @@
     @pytest.mark.parametrize("seed_number", range(12))
     def test_all_serve_soon_after_all_restart(self, seed_number):
         """Guard: the first election timer, and the askers that voters keep."""
-        mesh = fake_places.make_two_places(seed_number=seed_number)
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places(seed_number=seed_number)
         for node in mesh.nodes.values():
             node.crash()
         for node in mesh.nodes.values():
@@ -58,10 +49,7 @@
 
     def test_seed_that_votes_no_more_names_the_leader_too(self):
         """Guard: `_tell_askers`, and the last line of voters.leader_of."""
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         seed = mesh.nodes["b0"]
         node = mesh.nodes["b3"]
         seed.state.control.leader = None
@@ -92,10 +80,7 @@
 
     def test_voter_that_cannot_be_reached_is_asked_again_soon(self):
         """Guard: cold_start.link_lost."""
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         mesh.split({"a0"})
         node = mesh.nodes["a0"]
         node.crash()
@@ -113,10 +98,7 @@
         assert delays_s[0] <= 0.3
 
     def test_first_version_tells_how_long_the_node_was_without(self):
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         logs = [
             effect.fields
             for effect in mesh.nodes["a0"].performed
@@ -127,10 +109,7 @@
 
     def test_nodes_that_wait_for_a_leader_are_answered_by_it(self):
         """Guard: `_answer_askers`, else they ask again by the clock."""
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         for node in mesh.nodes.values():
             node.crash()
         for name, node in mesh.nodes.items():
@@ -144,10 +123,7 @@
         assert all(n.state.config.ready for n in plain)
 
     def test_content_comes_from_a_peer_before_a_voter(self):
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         for node in mesh.nodes.values():
             node.performed.clear()
         mesh.nodes["b1"].crash()
@@ -165,10 +141,7 @@
 
     def test_reply_older_than_the_quorums_version_is_ignored(self):
         """Guard: `not config.ready and message.version <` in FetchReply."""
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         mesh.split({"a0"})
         mesh.submit("v0", fake_mesh.make_catalog(2, "x", "y"))
         mesh.run(1)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -23,10 +23,7 @@
         assert fake_places.versions(mesh) == {1}
 
     def test_one_copy_of_a_delta_crosses_to_each_other_place(self):
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         crossing = [
             effect
             for node in mesh.nodes.values()
@@ -149,10 +146,7 @@
 
     def test_node_that_knows_the_version_passes_it_on(self):
         """Guard: `message.root != own` in the handler of Push."""
-        mesh = fake_places.make_two_places()
-        mesh.run(6)
-        mesh.submit("v0", fake_mesh.make_catalog(1, "x"))
-        mesh.run(2)
+        mesh = fake_places.make_serving_places()
         node = mesh.nodes["a0"]
         node.performed.clear()
         catalog = node.state.config.catalog
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -233,6 +233,16 @@
     await answer(send)
 
 
+async def send_chunks(stream, count: int) -> None:
+    """Begin a request and send chunks of 100,000 bytes, without an end."""
+    await stream.send(
+        b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
+        b"transfer-encoding: chunked\r\n\r\n"
+    )
+    for _ in range(count):
+        await stream.send(b"186a0\r\n" + bytes(100_000) + b"\r\n")
+
+
 class TestBodies:
     def test_body_that_is_declared_too_long_is_refused_unread(self):
         """Guard: the look at the declared length before the application."""
@@ -259,12 +269,7 @@
 
         async def script(scene):
             async with await scene.open() as stream:
-                await stream.send(
-                    b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
-                    b"transfer-encoding: chunked\r\n\r\n"
-                )
-                for _ in range(41):
-                    await stream.send(b"186a0\r\n" + bytes(100_000) + b"\r\n")
+                await send_chunks(stream, 41)
                 data = await receive_all(stream)
             assert data.startswith(b"HTTP/1.1 413")
 
@@ -282,12 +287,7 @@
 
         async def script(scene):
             async with await scene.open() as stream:
-                await stream.send(
-                    b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
-                    b"transfer-encoding: chunked\r\n\r\n"
-                )
-                for _ in range(41):
-                    await stream.send(b"186a0\r\n" + bytes(100_000) + b"\r\n")
+                await send_chunks(stream, 41)
                 assert (await receive_all(stream)).startswith(b"HTTP/1.1 413")
 
         play(app, script)
