Test the two halves of the quick election apart

Cause: with the campaign at the start taken out, the test of a restart of all still passed, since the short timer made up for it. Tests: two new ones; each fails without its line alone. No code changes.

--- a/tests/test_control_group.py
+++ b/tests/test_control_group.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from monsoonpass.core.agreement import replica as replica_lib
 from monsoonpass.core.distribution import config_messages
 from tests import fake_mesh
 
@@ -38,6 +39,40 @@
         assert identity.group in (0, group)
 
 
+class TestRestart:
+    def restart(self, *, apart_s: float) -> fake_mesh.FakeMesh:
+        """Return a group whose voters have all ended and begun again.
+
+        Args:
+            apart_s: Time between the starts of two voters.
+        """
+        mesh = fake_mesh.make_group(3)
+        mesh.run(3)
+        for node in mesh.nodes.values():
+            node.crash()
+        for number, node in enumerate(mesh.nodes.values()):
+            mesh.at(number * apart_s, node.start)
+        return mesh
+
+    def test_voter_that_starts_asks_at_once_whether_it_may_lead(self):
+        """Guard: the campaign in election.start."""
+        mesh = self.restart(apart_s=0.0)
+        mesh.run(0.05)
+        assert mesh.leader() is not None
+
+    def test_voter_that_has_heard_no_leader_asks_again_soon(self):
+        """Guard: the first election timer in group.election_timer."""
+        mesh = self.restart(apart_s=0.0)
+        for name in ("n1", "n2"):
+            mesh.cut.add(frozenset(("n0", name)))
+        mesh.cut.add(frozenset(("n1", "n2")))
+        mesh.run(0.3)
+        assert mesh.leader() is None
+        mesh.cut.clear()
+        mesh.run(replica_lib.FIRST_ELECTION_MAX_S + 0.05)
+        assert mesh.leader() is not None
+
+
 class TestReplacement:
     def test_lost_disk_rejoins_as_learner_and_is_promoted(self):
         mesh = fake_mesh.make_group(3)
