--- a/src/monsoonpass/core/logbook.py
+++ b/src/monsoonpass/core/logbook.py
@@ -28,6 +28,11 @@
     LINK_LOST = (121, "info", "The last stream to a peer ended.")
     PEER_REFUSED = (122, "warning", "A peer broke the protocol.")
     DATAGRAM_REFUSED = (123, "warning", "A datagram was not valid.")
+    TRAFFIC = (
+        124,
+        "info",
+        "What was sent to peers since the last such line: messages and bytes.",
+    )
     GROUP_FORMED = (200, "info", "The control group was formed.")
     LEADER_ELECTED = (201, "info", "This replica became the leader.")
     LEADER_RESIGNED = (202, "info", "This replica is no longer the leader.")
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -27,6 +27,7 @@
 from monsoonpass.runtime import peer_calls
 from monsoonpass.runtime import timers
 from monsoonpass.runtime import tracing
+from monsoonpass.runtime import traffic as traffic_lib
 from monsoonpass.runtime import upstream
 
 KEEP_ALIVE_S = 75.0
@@ -62,6 +63,9 @@
         self._http_stop = anyio.Event()
         self._logger = logs.Logger(instance=name)
         self._metrics = metrics.Metrics()
+        self._traffic = traffic_lib.Traffic(
+            metrics=self._metrics, logger=self._logger
+        )
         self._tracer = tracing.Tracer(
             instance=name,
             path=settings.telemetry.trace_file,
@@ -78,6 +82,7 @@
                 self._timers.run,
                 self._disk.run,
                 self._mesh.run,
+                self._traffic.run,
                 self._owner.run,
                 self._front.run,
             ):
@@ -129,6 +134,7 @@
             settings=settings,
             logger=self._logger,
             metrics=self._metrics,
+            traffic=self._traffic,
             incarnation=self._incarnation,
         )
         pool = upstream.Pool(
--- a/src/monsoonpass/runtime/link.py
+++ b/src/monsoonpass/runtime/link.py
@@ -45,6 +45,7 @@
         incarnation: int,
         reader: frame.FrameReader,
         count_bytes: Callable[[str, int], None],
+        count_message: Callable[[Any, int], None],
     ):
         self._stream = stream
         self.peer = peer
@@ -52,6 +53,7 @@
         self.incarnation = incarnation
         self._reader = reader
         self._count_bytes = count_bytes
+        self._count_message = count_message
         self._urgent: collections.deque[bytes] = collections.deque()
         self._bulk: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
@@ -77,6 +79,7 @@
             self.closed = True
             self._wanted.set()
             raise LinkQueueFullError(f"{self.peer.instance} does not read")
+        self._count_message(message, len(data))
         (self._bulk if bulk else self._urgent).append(data)
         self._wanted.set()
 
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -21,6 +21,7 @@
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import logs
 from monsoonpass.runtime import metrics as metrics_lib
+from monsoonpass.runtime import traffic as traffic_lib
 
 CONNECT_TIMEOUT_S = 2.0
 BACKLOG_MAX = 256
@@ -47,6 +48,7 @@
         settings: settings_lib.Settings,
         logger: logs.Logger,
         metrics: metrics_lib.Metrics,
+        traffic: traffic_lib.Traffic,
         incarnation: int,
     ):
         self._incarnation = incarnation
@@ -54,6 +56,7 @@
         self._settings = settings
         self._logger = logger
         self._metrics = metrics
+        self._traffic = traffic
         self._address = settings.core_settings().address
         self._secret = settings.mesh.secret.get_secret_value().encode()
         self._group: anyio.abc.TaskGroup | None = None
@@ -230,6 +233,7 @@
             incarnation=theirs.incarnation,
             reader=reader,
             count_bytes=self._count_bytes(theirs.data_centre),
+            count_message=self._count_message(instance),
         )
         self.links.setdefault(instance, []).append(link)
         self._metrics.links.inc()
@@ -278,6 +282,21 @@
         }
         return lambda direction, size: counters[direction].inc(size)
 
+    def _count_message(self, instance: str) -> Callable[[Any, int], None]:
+        distance = self._distance(instance)
+        return lambda message, size_bytes: self._traffic.sent(
+            message, distance, size_bytes
+        )
+
+    def _distance(self, instance: str) -> str:
+        """Return how far a member is away, as far as the table tells."""
+        member = self._engine.state.membership.table.get(instance)
+        own = self._settings.node
+        near, same_region, far = metrics_lib.DISTANCES
+        if member is None or member.region != own.region:
+            return far
+        return near if member.data_centre == own.data_centre else same_region
+
     def _perform_datagram(self, effect: effects.SendDatagram) -> None:
         try:
             data = hello.seal_datagram(
@@ -285,6 +304,8 @@
             )
         except errors.FrameTooLargeError:
             return
+        distance = self._distance(effect.to.instance)
+        self._traffic.sent(effect.message, distance, len(data))
         self._outbox.append((data, effect.to.host, effect.to.port))
         self._outbox_wanted.set()
 
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -18,6 +18,10 @@
     5.0,
 )
 
+DISTANCES = ("data_centre", "region", "across")
+
+Counter = prometheus_client.Counter
+
 
 class Metrics:
     """All metrics of a node, in a registry of its own.
@@ -34,6 +38,8 @@
         members: Members present in the data centre.
         links: Streams to peers.
         peer_bytes: Bytes exchanged with peers, by direction and kind.
+        peer_message_bytes: Bytes sent to peers, by kind of message and by
+            distance: within the data centre, the region, or across regions.
         disk_sync: Time of a group of writes and its sync.
     """
 
@@ -91,6 +97,12 @@
             ["direction", "kind"],
             registry=registry,
         )
+        self.peer_message_bytes = prometheus_client.Counter(
+            "monsoonpass_peer_message_bytes",
+            "Bytes sent to peers by kind of message.",
+            ["kind", "distance"],
+            registry=registry,
+        )
         self.disk_sync = prometheus_client.Histogram(
             "monsoonpass_disk_sync_duration_seconds",
             "Time of a group of journal writes and its sync.",
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,40 @@
+"""Tests of the account of what is sent to peers."""
+
+from monsoonpass.core import logbook
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.runtime import metrics as metrics_lib
+from monsoonpass.runtime import traffic as traffic_lib
+
+
+class Lines:
+    """Keeps the lines of a log."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, object]] = []
+
+    def write(self, code: logbook.Code, **fields: object) -> None:
+        self.lines.append({"code": code, **fields})
+
+
+class TestTraffic:
+    def test_report_names_kinds_by_bytes_and_begins_anew(self):
+        metrics = metrics_lib.Metrics()
+        log = Lines()
+        traffic = traffic_lib.Traffic(metrics=metrics, logger=log)
+        ping = member_lib.Ping(number=1, version=0, table_digest=0, updates=())
+        rumour = member_lib.Rumour(updates=())
+        traffic.sent(ping, "across", 40)
+        traffic.sent(ping, "across", 60)
+        traffic.sent(rumour, "region", 900)
+        traffic.report()
+        traffic.report()
+        assert log.lines == [
+            {
+                "code": logbook.Code.TRAFFIC,
+                "sent": {"Rumour/region": [1, 900], "Ping/across": [2, 100]},
+                "other_bytes": 0,
+            }
+        ]
+        text = metrics.render().decode()
+        name = "monsoonpass_peer_message_bytes_total"
+        assert f'{name}{{distance="across",kind="Ping"}} 100.0' in text
