Send a change of one route as one route, wherever it stands

Callers saw routes answered 404 up to 12 s after the change was acknowledged. A delta named routes to append and routes to replace in place; an insertion in the middle made it remove and send again all that stood behind. A delta now lists what the base lacks, and the order as runs of positions.

test_route_in_the_middle_sends_no_other_route_again failed before (places 0, 1 and 150 of 300). The old test only appended. A delta is another message now, so the protocol's version rises.

--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -115,7 +115,7 @@
     limits: host_route.Limits = host_route.DEFAULT_LIMITS
 
 
-@codec.register(11)
+@codec.register(12)
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Delta:
     """The change from one version to a later one.
@@ -128,7 +128,8 @@
         changed: Services that were added or differ.
         removed: Names of services that are gone.
         routes_changed: Routes by host that were added or differ.
-        routes_removed: Keys of routes by host that are gone.
+        routes_order: Where the routes by host stand, as runs of positions in
+            the base's routes followed by `routes_changed`.
         limits: Limits of callers after the change.
     """
 
@@ -139,7 +140,7 @@
     changed: tuple[Service, ...]
     removed: tuple[str, ...]
     routes_changed: tuple[host_route.HostRoute, ...] = ()
-    routes_removed: tuple[str, ...] = ()
+    routes_order: tuple[host_route.Run, ...] = ()
     limits: host_route.Limits = host_route.DEFAULT_LIMITS
 
 
@@ -270,7 +271,7 @@
         removed = tuple(
             name for name in sorted(self.services) if name not in newer.services
         )
-        routes_changed, routes_removed = host_route.changed_and_removed(
+        routes_changed, routes_order = host_route.arrangement(
             self.routes, newer.routes
         )
         return Delta(
@@ -281,7 +282,7 @@
             changed=changed,
             removed=removed,
             routes_changed=routes_changed,
-            routes_removed=routes_removed,
+            routes_order=routes_order,
             limits=newer.limits,
         )
 
@@ -295,6 +296,7 @@
             The resulting catalog; this one is unchanged.
 
         Raises:
+            BadArrangementError: The delta names routes that there are not.
             BaseMismatchError: The delta was made for another base.
             NotClosedError: The result would not be closed.
             DigestMismatchError: The result differs from the delta's digest.
@@ -315,8 +317,8 @@
         result = Catalog(
             version=delta.version,
             services=services,
-            routes=host_route.merge(
-                self.routes, delta.routes_changed, delta.routes_removed
+            routes=host_route.arrange(
+                self.routes, delta.routes_changed, delta.routes_order
             ),
             limits=delta.limits,
         )
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -5,6 +5,9 @@
 import functools
 
 from monsoonpass import codec
+from monsoonpass import errors
+
+Run = tuple[int, int]  # First position, and how many follow each other.
 
 
 class Kind(enum.StrEnum):
@@ -127,49 +130,54 @@
         return None
 
 
-def changed_and_removed(
+def arrangement(
     old: tuple[HostRoute, ...], new: tuple[HostRoute, ...]
-) -> tuple[tuple[HostRoute, ...], tuple[str, ...]]:
-    """Return the change that `merge` turns into the new routes, in order.
+) -> tuple[tuple[HostRoute, ...], tuple[Run, ...]]:
+    """Return the change that `arrange` turns into the new routes, in order.
 
     Args:
         old: Routes of the base.
         new: Routes wanted.
 
     Returns:
-        Routes to replace in place or to append, and keys to remove.
+        Routes that the base lacks, and runs of positions, first those of the
+        base and then those of the lacking ones. One route more or less
+        anywhere adds two runs at most, however many routes there are.
     """
-    new_keys = {route.key for route in new}
-    kept = [route for route in old if route.key in new_keys]
-    aligned = 0
-    while (
-        aligned < min(len(kept), len(new))
-        and kept[aligned].key == new[aligned].key
-    ):
-        aligned += 1
-    in_place = [
-        route
-        for base, route in zip(kept[:aligned], new[:aligned], strict=True)
-        if base != route
-    ]
-    moved = {route.key for route in kept[aligned:]}
-    removed = [
-        route.key
-        for route in old
-        if route.key not in new_keys or route.key in moved
-    ]
-    return (*in_place, *new[aligned:]), tuple(removed)
-
-
-def merge(
+    positions = {route.key: number for number, route in enumerate(old)}
+    changed: list[HostRoute] = []
+    runs: list[list[int]] = []
+    for route in new:
+        position = positions.get(route.key)
+        if position is None or old[position] != route:
+            position = len(old) + len(changed)
+            changed.append(route)
+        if runs and sum(runs[-1]) == position:
+            runs[-1][1] += 1
+        else:
+            runs.append([position, 1])
+    return tuple(changed), tuple((first, count) for first, count in runs)
+
+
+def arrange(
     old: tuple[HostRoute, ...],
     changed: tuple[HostRoute, ...],
-    removed: tuple[str, ...],
+    runs: tuple[Run, ...],
 ) -> tuple[HostRoute, ...]:
-    """Apply what `changed_and_removed` returned to the old routes."""
-    by_key = {route.key: route for route in old}
-    for key in removed:
-        by_key.pop(key, None)
-    for route in changed:
-        by_key[route.key] = route
-    return tuple(by_key.values())
+    """Apply what `arrangement` returned to the old routes.
+
+    Raises:
+        BadArrangementError: A run names a route that there is not, or one
+            twice.
+    """
+    every = (*old, *changed)
+    if sum(count for _, count in runs) > len(every):
+        raise errors.BadArrangementError("the runs name routes twice")
+    result: list[HostRoute] = []
+    for first, count in runs:
+        if first < 0 or count < 1 or first + count > len(every):
+            raise errors.BadArrangementError(
+                f"a run of {count} from {first} is beyond {len(every)} routes"
+            )
+        result += every[first : first + count]
+    return tuple(result)
--- a/tests/test_host_route.py
+++ b/tests/test_host_route.py
@@ -1,6 +1,7 @@
 """Tests of routes by host: the longest prefix, deltas in order, shares."""
 
 import collections
+import dataclasses
 import random
 
 import hypothesis
@@ -91,6 +92,28 @@
         assert len(delta.routes_changed) == 1
         assert len(codec.encode(delta)) < 300
 
+    @pytest.mark.parametrize("place", [0, 1, 150, 299])
+    def test_route_in_the_middle_sends_no_other_route_again(self, place):
+        """Else each change sends most of a large configuration."""
+        routes = [make_route(f"/{number}/") for number in range(300)]
+        more = [*routes[:place], make_route("/new/"), *routes[place:]]
+        base = make_catalog(1, *routes)
+        target = make_catalog(2, *more)
+        added = base.delta_to(target)
+        removed = target.delta_to(make_catalog(3, *routes))
+        assert len(codec.encode(added)) < 300
+        assert len(codec.encode(removed)) < 300
+
+    @pytest.mark.parametrize(
+        "order", [((0, 3),), ((-1, 1),), ((0, 0),), ((0, 1), (0, 1), (0, 1))]
+    )
+    def test_order_that_does_not_fit_the_base_is_refused(self, order):
+        base = make_catalog(1, make_route("/a/"), make_route("/b/"))
+        delta = base.delta_to(make_catalog(2, make_route("/b/")))
+        wrong = dataclasses.replace(delta, routes_order=order)
+        with pytest.raises(errors.BadArrangementError):
+            base.apply(wrong)
+
 
 class TestShares:
     @pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (7, 2, 1)])
