Send one copy of a version over each link; take over silent branches

The root now groups members by place: one copy to each other region, one to each other data centre, then the fan-out. Each receiver acknowledges to the node above, which serves the branch of one that does not within 0.4 s and the time of its copies.

The test of a node that knows the version clears what was passed on before: a member is not sent a version twice by one node any more.

--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -69,6 +69,15 @@
     leader: address_lib.Address | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Group:
+    """Members of one data centre below the receiver of a push."""
+
+    region: str
+    data_centre: str
+    members: tuple[address_lib.Address, ...]
+
+
 @codec.register(42)
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Push:
@@ -78,20 +87,20 @@
         version: The version.
         delta: The change from the version before, packed.
         root: Instance at which the tree begins.
-        targets: Members below the receiver, which passes it on to them. The
+        below: Members below the receiver, which passes it on to them. The
             root knows its own.
     """
 
     version: int
     delta: bytes
     root: str
-    targets: tuple[address_lib.Address, ...] = ()
+    below: tuple[Group, ...] = ()
 
 
 @codec.register(43)
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PushAck:
-    """Tells the leader that a data centre's entry node has a version."""
+    """Tells the node above in the tree that a version has come."""
 
     data_centre: str
     version: int
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -10,7 +10,6 @@
 import dataclasses
 
 from monsoonpass import errors
-from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
@@ -22,10 +21,8 @@
 from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.distribution import config_messages as messages
 from monsoonpass.core.distribution import packing
-from monsoonpass.core.membership import member as member_lib
-from monsoonpass.core.membership import member_table
+from monsoonpass.core.distribution import tree
 
-FAN_OUT = 8
 HISTORY_MAX = 256
 HINT_DELAY_S = 0.1  # Longer than a push takes; one hint for a storm.
 HINT_FAN_OUT = 4  # Twice as many as an epidemic needs to reach everyone.
@@ -114,16 +111,14 @@
     """Apply a pushed version and pass it on to those below this node."""
     config = state.config
     own = state.settings.address.instance
-    result: list[effects.Effect] = []
-    if message.root == own:
-        ack = messages.PushAck(
-            data_centre=state.settings.data_centre, version=message.version
-        )
-        result.append(effects.Send(to=event.sender, message=ack))
+    ack = messages.PushAck(
+        data_centre=state.settings.data_centre, version=message.version
+    )
+    result: list[effects.Effect] = [effects.Send(to=event.sender, message=ack)]
     is_known = message.version <= config.newest.version
     if message.root != own or not is_known:
         # Those below depend on this node even if a hint came first.
-        result += branches(state, message)
+        result += tree.pass_on(state, message)
     if is_known or not config.ready:
         return result
     try:
@@ -140,12 +135,13 @@
 def _(
     message: messages.PushAck, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
+    result = tree.acknowledged(state, event.sender.instance, message.version)
     pending = state.config.pushes.get(message.data_centre)
     if pending is None or message.version < pending.delta.version:
-        return []
+        return result
     del state.config.pushes[message.data_centre]
     timer = timers.PushRetry(data_centre=message.data_centre)
-    return [effects.CancelTimer(timer=timer)]
+    return [*result, effects.CancelTimer(timer=timer)]
 
 
 @step.expire.register
@@ -196,51 +192,6 @@
     return result
 
 
-def branches(state: node.Node, push: messages.Push) -> list[effects.Send]:
-    """Return the sends that pass a push on.
-
-    The root alone decides who gets a version from whom: nodes whose tables
-    differ, as they do while members come and go, would otherwise each leave
-    out others.
-
-    Args:
-        state: The node.
-        push: The push received, or made by the root.
-
-    Returns:
-        At most `FAN_OUT` sends, each with its part of the members below.
-    """
-    targets = list(push.targets)
-    if push.root == state.settings.address.instance:
-        targets = _members_to_push(state, push.version)
-    result = []
-    for first in range(min(FAN_OUT, len(targets))):
-        head, *below = targets[first::FAN_OUT]
-        part = dataclasses.replace(push, targets=tuple(below))
-        result.append(effects.Send(to=head, message=part))
-    return result
-
-
-def _members_to_push(
-    state: node.Node, version: int
-) -> list[address_lib.Address]:
-    """Return the other members, in an order that differs by version.
-
-    A suspect is mostly alive behind a busy link, and must learn too; it comes
-    last, so that few depend on it.
-    """
-    salt = f"push/{version}"
-    suspect = member_lib.MemberState.SUSPECT
-    ordered = sorted(
-        state.membership.present_others,
-        key=lambda m: (
-            m.state is suspect,
-            member_table.rank(m.instance, salt),
-        ),
-    )
-    return [member.address for member in ordered]
-
-
 def _apply(
     state: node.Node, event: events.Event, delta: catalog_lib.Delta
 ) -> list[effects.Effect]:
@@ -357,7 +308,7 @@
     """Send a version to a data centre's entry node."""
     if data_centre == state.settings.data_centre:
         root = state.settings.address.instance
-        return branches(state, _push(delta, root))
+        return tree.pass_on(state, _push(delta, root))
     contacts = state.directory.contacts.get(data_centre, ())
     usable = [c for c in contacts if c.instance != avoid] or list(contacts)
     if not usable:
--- a/src/monsoonpass/core/logbook.py
+++ b/src/monsoonpass/core/logbook.py
@@ -46,6 +46,11 @@
         "A received configuration was not valid and was not applied.",
     )
     COLD_START_READ = (304, "info", "The first version was read.")
+    BRANCH_TAKEN_OVER = (
+        305,
+        "info",
+        "A member did not acknowledge a version; those below get it from here.",
+    )
     MEMBER_JOINED = (400, "info", "A member joined the data centre's table.")
     MEMBER_SUSPECTED = (401, "warning", "A member missed its probes.")
     MEMBER_FAILED = (402, "warning", "A suspected member did not refute.")
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -166,6 +166,9 @@
         cold_attempts: Attempts to obtain the first version.
         hint_set: Whether members are due to be told of the version.
         pushes: The leader's pushes that a data centre has not acknowledged.
+        branches: Pushes that the head of a branch has not acknowledged, by
+            its instance and the version.
+        passed: Instances to which a version was passed on, by version.
     """
 
     catalog: catalog_lib.Catalog = catalog_lib.EMPTY
@@ -184,6 +187,10 @@
     cold_attempts: int = 0
     hint_set: bool = False
     pushes: dict[str, Any] = dataclasses.field(default_factory=dict)
+    branches: dict[tuple[str, int], Any] = dataclasses.field(
+        default_factory=dict
+    )
+    passed: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
     def version(self) -> int:
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -44,6 +44,14 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BranchRetry(Timer):
+    """The head of a branch did not acknowledge a version."""
+
+    instance: str
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ColdStartRetry(Timer):
     """The first version was not obtained yet."""
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,125 @@
+"""Tests of the tree along which a version spreads."""
+
+import dataclasses
+
+import pytest
+
+from monsoonpass.core import effects
+from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import tree
+from tests import fake_mesh
+
+REGIONS = {"north": ("n1", "n2"), "south": ("s1", "s2")}
+
+
+def make_flat_regions(per_place: int, *, seed: int = 1) -> fake_mesh.FakeMesh:
+    """Return one table over two regions of two data centres each.
+
+    The first node of each data centre has a disk and no upstream.
+    """
+    mesh = fake_mesh.FakeMesh(seed=seed)
+    places = [
+        (region, data_centre)
+        for region, group in REGIONS.items()
+        for data_centre in group
+    ]
+    voters = tuple(f"{place}-0" for _, place in places[:3])
+    seeds = tuple(fake_mesh.seed(name, name[:2]) for name in voters)
+    for region, place in places:
+        for number in range(per_place):
+            node = mesh.add(
+                f"{place}-{number}",
+                data_centre=place,
+                disk=number == 0,
+                seeds=seeds,
+                voters=voters,
+                flat=True,
+            )
+            node.settings = dataclasses.replace(node.settings, region=region)
+            node.start()
+    mesh.run(8)
+    return mesh
+
+
+def pushes(mesh: fake_mesh.FakeMesh) -> list[tuple[str, str]]:
+    """Return from where to where each push went, by data centre."""
+    return [
+        (node.name[:2], effect.to.instance[:2])
+        for node in mesh.nodes.values()
+        for effect in node.performed
+        if isinstance(effect, effects.Send)
+        and isinstance(effect.message, config_messages.Push)
+    ]
+
+
+class TestCopies:
+    def test_each_link_between_places_carries_one_copy(self):
+        """Else a change costs the paid link a copy for each member."""
+        mesh = make_flat_regions(12)
+        for node in mesh.nodes.values():
+            node.performed.clear()
+        mesh.submit("n1-0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(0.09)
+        crossing = [(a, b) for a, b in pushes(mesh) if a[0] != b[0]]
+        between = [(a, b) for a, b in pushes(mesh) if a != b]
+        assert len(crossing) == 1
+        assert len(between) == 3
+        assert len(pushes(mesh)) == len(mesh.nodes) - 1
+        versions = {n.state.config.version for n in mesh.nodes.values()}
+        assert versions == {1}
+
+    def test_members_without_an_upstream_head_their_places(self):
+        mesh = make_flat_regions(6)
+        state = mesh.nodes["n1-0"].state
+        for member in state.membership.table.present():
+            if not member.instance.endswith("-0"):
+                serving = dataclasses.replace(member, service="x")
+                state.membership.table.put(serving, mesh.now_s)
+        for version in range(1, 9):
+            groups = tree._members_by_place(state, version)
+            branches = tree.split(state.settings, groups)
+            heads = {head.instance for head, _ in branches}
+            assert {"n2-0"} <= heads
+            assert heads & {"s1-0", "s2-0"}
+
+
+class TestBranches:
+    @pytest.mark.parametrize("frozen", ["s1-0", "s2-0", "n2-0"])
+    def test_silent_head_takes_nobody_below_with_it(self, frozen, monkeypatch):
+        """Replays a head that freezes or sits behind a full link.
+
+        Guard: `_send_branches` in the handler of BranchRetry.
+        """
+        monkeypatch.setattr(distribution, "HINT_FAN_OUT", 0)
+        mesh = make_flat_regions(12)
+        mesh.submit("n1-0", fake_mesh.make_catalog(1, "x"))
+        mesh.run(2)
+        mesh.nodes[frozen].suspended = True
+        leader = mesh.leader()
+        assert leader.name != frozen
+        late = []
+        for version in range(2, 12):
+            mesh.submit(leader.name, fake_mesh.make_catalog(version, "x"))
+            mesh.run(2 * tree.ACK_TIMEOUT_S + 0.1)
+            late += [
+                (version, node.name)
+                for node in mesh.nodes.values()
+                if node.state.config.version < version and node.name != frozen
+            ]
+        assert late == []
+
+    def test_push_that_comes_twice_is_passed_on_once(self):
+        """Guard: `_not_yet_served` in tree."""
+        mesh = make_flat_regions(4)
+        state = mesh.nodes["n1-1"].state
+        group = config_messages.Group(
+            region="north",
+            data_centre="n1",
+            members=(fake_mesh.address("n1-2"),),
+        )
+        push = config_messages.Push(
+            version=7, delta=b"", root="n1-0", below=(group,)
+        )
+        assert len(tree.pass_on(state, push)) == 2
+        assert tree.pass_on(state, push) == []
