Repeat a fetch elsewhere until the newest version heard of is here

A fetch without an answer in 0.4 s was dropped, and the node waited for the next hint or probe; a version heard of during a fetch was fetched a second time at once, whole. One fetch now runs at a time, is repeated at a voter with a timeout that doubles, and goes on until the newest version heard of is here. A cold node takes its content from its own data centre or region.

Three tests fail before: unanswered fetch, fetch without any answer, newer version heard meanwhile.

--- a/src/monsoonpass/core/distribution/catch_up.py
+++ b/src/monsoonpass/core/distribution/catch_up.py
@@ -2,13 +2,17 @@
 
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
 from monsoonpass.core import timers
+from monsoonpass.core.agreement import voters as voters_lib
 from monsoonpass.core.distribution import config_messages as messages
 
 FETCH_TIMEOUT_S = 0.4  # A lost answer must not cost most of a second.
+FETCH_TIMEOUT_MAX_S = 1.6  # A whole content over a link that is full.
+FETCHES_MAX = 8  # Then the next hint or probe begins anew.
 
 
 def heard_version(
@@ -18,7 +22,9 @@
     config = state.config
     if version <= config.newest.version or not config.ready:
         return []
-    if config.fetching and config.fetch_version >= version:
+    if config.fetching:
+        # One answer carries all changes; a second fetch would repeat them.
+        config.fetch_version = max(version, config.fetch_version)
         return []
     return fetch(state, event.sender, version)
 
@@ -35,8 +41,17 @@
 def _(
     timer: timers.FetchRetry, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
-    state.config.fetching = ""
-    return []
+    """Ask another node; the one asked may be frozen, or its link full."""
+    config = state.config
+    asked, config.fetching = config.fetching, ""
+    missing = config.fetch_version > config.newest.version
+    if not config.ready or not missing or config.fetches >= FETCHES_MAX:
+        config.fetches = 0
+        return []
+    source = _another_source(state, event, asked)
+    if source is None:
+        return []
+    return fetch(state, source, config.fetch_version)
 
 
 def _newer_than(
@@ -70,10 +85,66 @@
     """Ask a peer for what is newer than the own version."""
     config = state.config
     config.fetching = to.instance
+    config.fetches += 1
     config.fetch_version = max(version, config.fetch_version)
     newest = config.newest
     fetch = messages.Fetch(version=newest.version, digest=newest.digest)
+    timeout_s = FETCH_TIMEOUT_S * 2 ** (config.fetches - 1)
+    timeout_s = min(timeout_s, FETCH_TIMEOUT_MAX_S)
     return [
         effects.Send(to=to, message=fetch),
-        effects.SetTimer(timer=timers.FetchRetry(), delay_s=FETCH_TIMEOUT_S),
+        effects.SetTimer(timer=timers.FetchRetry(), delay_s=timeout_s),
     ]
+
+
+def answered(
+    state: node.Node, event: events.PeerMessage, *, brought: bool
+) -> list[effects.Effect]:
+    """Go on after an answer, until the newest version heard of is here.
+
+    Args:
+        state: The node.
+        event: The answer.
+        brought: Whether it brought a newer version.
+
+    Returns:
+        Effects.
+    """
+    config = state.config
+    if config.fetching != event.sender.instance or not config.ready:
+        return []
+    if config.fetch_version <= config.newest.version:
+        config.fetching = ""
+        config.fetches = 0
+        return [effects.CancelTimer(timer=timers.FetchRetry())]
+    if not brought:
+        # The peer lags as well; the timer asks another one.
+        return []
+    config.fetches = 0
+    source = _another_source(state, event, config.fetching)
+    return fetch(state, source or event.sender, config.fetch_version)
+
+
+def _another_source(
+    state: node.Node, event: events.Event, asked: str
+) -> address_lib.Address | None:
+    """Return a voter, which has every version, or else a member nearby."""
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    voters = [v for v in voters_lib.other_voters(state) if v.instance != asked]
+    if voters:
+        return draws.choice(voters)
+    others = [m for m in nearby(state) if m.instance != asked]
+    return draws.choice(others) if others else None
+
+
+def nearby(state: node.Node) -> list[address_lib.Address]:
+    """Return the other members of the nearest place that has any."""
+    own = state.settings
+    members = state.membership.alive_others
+    tiers = (
+        [m for m in members if m.data_centre == own.data_centre],
+        [m for m in members if m.region == own.region],
+        members,
+    )
+    nearest = next((tier for tier in tiers if tier), [])
+    return [member.address for member in nearest]
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -109,7 +109,7 @@
     A peer may be as cold as this node, so the next attempt goes to the voter
     that confirmed the version.
     """
-    peers = [member.address for member in state.membership.alive_others]
+    peers = catch_up.nearby(state)
     if state.config.cold_attempts > 1 or not peers:
         return event.sender
     return entropy_lib.Entropy(bits=event.entropy).choice(peers)
--- a/src/monsoonpass/core/distribution/distribution.py
+++ b/src/monsoonpass/core/distribution/distribution.py
@@ -169,9 +169,10 @@
     message: messages.FetchReply, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
     config = state.config
-    if config.fetching == event.sender.instance:
+    if config.fetching == event.sender.instance and not config.ready:
         config.fetching = ""
     result: list[effects.Effect] = []
+    before = config.newest.version
     if not config.ready and message.version < config.fetch_version:
         # The peer starts too; the voter has what it has confirmed.
         voter = config.confirmed_by
@@ -189,7 +190,8 @@
                 result += _apply(state, event, delta)
     except errors.CatalogError as error:
         result.append(_rejected(event, error))
-    return result
+    brought = config.newest.version > before
+    return result + catch_up.answered(state, event, brought=brought)
 
 
 def _apply(
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -163,6 +163,7 @@
         history: Recent changes, oldest first, for peers that lag.
         fetching: Instance that a newer version was asked of, or empty.
         fetch_version: The version hoped for.
+        fetches: How often it was asked for since the last answer.
         cold_attempts: Attempts to obtain the first version.
         hint_set: Whether members are due to be told of the version.
         pushes: The leader's pushes that a data centre has not acknowledged.
@@ -184,6 +185,7 @@
     )
     fetching: str = ""
     fetch_version: int = 0
+    fetches: int = 0
     cold_attempts: int = 0
     hint_set: bool = False
     pushes: dict[str, Any] = dataclasses.field(default_factory=dict)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,6 +7,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.distribution import packing
 from monsoonpass.core.membership import directory
@@ -249,3 +250,72 @@
         mesh.run(20)
         greetings = fake_places.count_sends(mesh, directory.Greeting)
         assert 0 < greetings <= 4 * 20 / (0.75 * directory.EXCHANGE_S) + 4
+
+
+class TestFetch:
+    def make_node(self):
+        """Return a node that has asked a peer for version 9 in vain."""
+        mesh = fake_places.make_serving_places()
+        mesh.split({"a0"})
+        node = mesh.nodes["a0"]
+        node.performed.clear()
+        self.hear(node, "a1", 9)
+        return mesh, node
+
+    def hear(self, node, sender, version):
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address(sender),
+            message=config_messages.VersionHint(version=version),
+        )
+
+    def asked(self, node):
+        return [
+            effect.to.instance
+            for effect in node.performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.Fetch)
+        ]
+
+    def test_unanswered_fetch_is_repeated_elsewhere(self):
+        """Replays a peer that freezes, or whose link is full.
+
+        Guard: `_another_source` in the handler of FetchRetry.
+        """
+        mesh, node = self.make_node()
+        mesh.run(1.5)
+        asked = self.asked(node)
+        assert asked[0] == "a1"
+        assert len(asked) == 3
+        assert set(asked[1:]) <= {"v0", "v1", "v2"}
+
+    def test_fetch_without_any_answer_ends(self):
+        """Guard: `FETCHES_MAX`."""
+        mesh, node = self.make_node()
+        mesh.run(60)
+        assert len(self.asked(node)) == catch_up.FETCHES_MAX
+
+    def test_newer_version_heard_meanwhile_is_fetched_next(self):
+        """Replays a storm of versions over a slow link.
+
+        Guard: `fetch` at the end of catch_up.answered.
+        """
+        mesh = fake_places.make_serving_places()
+        mesh.split({"a0"})
+        node = mesh.nodes["a0"]
+        base = node.state.config.catalog
+        self.hear(node, "a1", 2)
+        self.hear(node, "a2", 3)
+        node.performed.clear()
+        second = fake_mesh.make_catalog(2, "x", "y")
+        mesh.contents[(2, second.digest)] = second
+        delta = base.delta_to(second)
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("a1"),
+            message=config_messages.FetchReply(
+                version=2, deltas=(delta.packed,)
+            ),
+        )
+        assert node.state.config.version == 2
+        assert len(self.asked(node)) == 1
