Let news of members leave a data centre from there alone

Members now pass news on in their own data centre; only those of the place where it is from carry it to others, about four copies to each. Members judge those of their own data centre, one probe in three goes to another.

Tests that fail before: news leaves a data centre from there alone; cut between regions; node cut off alone.

--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -1,6 +1,8 @@
 """News of members: taken into the table and spread.
 
-News rides on probes and is also passed on at once to a few members. When many
+News rides on probes and is also passed on at once to a few members. Where one
+table covers several data centres, only the members of a data centre carry news
+of it to others, so what crosses does not grow with the whole fleet. When many
 members fall silent together, a partition is likelier than their death, and
 their records are kept.
 """
@@ -18,11 +20,15 @@
 
 GOSSIP_DELAY_S = 0.05
 GOSSIP_FAN_OUT = 3
+COPIES_FAR = 4  # From a data centre's members together to each other one.
 UPDATES_PER_DATAGRAM = 8
-TRANSMISSIONS_PER_DOUBLING = 3
+# An epidemic misses one member in e to the power of the copies each one gets;
+# digests on probes find what it missed.
+TRANSMISSIONS_PER_DOUBLING = 2
 SUSPICION_S = 3.0
 PARTITION_SHARE = 0.3
 PARTITION_MIN = 3
+PARTITION_PROBES = 3  # As many as end while a suspicion lasts.
 
 
 def change_own(
@@ -133,8 +139,10 @@
 ) -> list[effects.Effect]:
     """Queue a record for the next datagrams."""
     membership = state.membership
-    size = membership.table.present_count
+    size = len(membership.near_others)
     count = TRANSMISSIONS_PER_DOUBLING * max(size.bit_length(), 1)
+    if update.data_centre == state.settings.data_centre:
+        count += len(_far_by_place(state))
     membership.updates[update.instance] = [update, count]
     if membership.gossip_set:
         return []
@@ -143,24 +151,51 @@
 
 
 def _gossip(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    others = [m.address for m in state.membership.alive_others]
     draws = entropy_lib.Entropy(bits=event.entropy)
+    near = state.membership.near_others
+    targets = draws.sample(near, GOSSIP_FAN_OUT)
+    for place in _far_by_place(state).values():
+        if draws.below(len(near) + 1) < COPIES_FAR:
+            targets.append(draws.choice(place))
     result: list[effects.Effect] = []
-    for to in draws.sample(others, GOSSIP_FAN_OUT):
-        updates = take_updates(state)
-        if not updates:
-            break
-        rumour = member_lib.Rumour(updates=updates)
-        result.append(effects.SendDatagram(to=to, message=rumour))
+    for to in targets:
+        updates = take_updates(state, to.data_centre)
+        if updates:
+            rumour = member_lib.Rumour(updates=updates)
+            result.append(effects.SendDatagram(to=to.address, message=rumour))
     return result
 
 
-def take_updates(state: node.Node) -> tuple[member_lib.Member, ...]:
-    """Return the least spread news and count this transmission."""
+def _far_by_place(state: node.Node) -> dict[str, list[member_lib.Member]]:
+    places: dict[str, list[member_lib.Member]] = {}
+    for member in state.membership.far_others:
+        places.setdefault(member.data_centre, []).append(member)
+    return places
+
+
+def take_updates(
+    state: node.Node, data_centre: str
+) -> tuple[member_lib.Member, ...]:
+    """Return the least spread news and count this transmission.
+
+    Args:
+        state: The node.
+        data_centre: Where it is sent. Another data centre hears of this one
+            only; it hears of the others from themselves.
+
+    Returns:
+        At most `UPDATES_PER_DATAGRAM` records.
+    """
     updates = state.membership.updates
     if not updates:
         return ()
-    freshest = sorted(updates.values(), key=lambda item: -item[1])
+    own = state.settings.data_centre
+    usable = [
+        item
+        for item in updates.values()
+        if own in (data_centre, item[0].data_centre)
+    ]
+    freshest = sorted(usable, key=lambda item: -item[1])
     taken = []
     for item in freshest[:UPDATES_PER_DATAGRAM]:
         taken.append(item[0])
@@ -171,12 +206,28 @@
 
 
 def looks_partitioned(state: node.Node) -> bool:
-    """Return whether too many members are suspected at once."""
-    table = state.membership.table
+    """Return whether this node rather than the members may be cut off.
+
+    That is so if too many are suspected at once, or if nobody at all has
+    answered lately: in a small data centre, a few members are all.
+    """
+    membership = state.membership
+    outcomes = membership.probe_outcomes
+    if len(outcomes) == PARTITION_PROBES and not any(outcomes):
+        return True
+    table = membership.table
     threshold = max(PARTITION_MIN, PARTITION_SHARE * table.present_count)
     return table.suspect_count > threshold
 
 
+def probe_ended(state: node.Node, *, answered: bool) -> None:
+    """Note whether a member answered a probe of this node."""
+    outcomes = state.membership.probe_outcomes
+    outcomes.append(answered)
+    if len(outcomes) > PARTITION_PROBES:
+        outcomes.popleft()
+
+
 def _check_healed(state: node.Node) -> list[effects.Effect]:
     membership = state.membership
     if not membership.partitioned or looks_partitioned(state):
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -2,9 +2,11 @@
 
 The protocol follows SWIM: every node probes one member a period, asks others
 to probe it when it does not answer, and suspects it before it declares it
-dead. News rides on probes and is also passed on at once to a few members.
-When many members fall silent together, a partition is likelier than their
-death, and their records are kept.
+dead. Where one table covers several data centres, members judge those of their
+own, and probe one of another now and then to compare tables and versions.
+News rides on probes and is also passed on at once to a few members. When many
+members fall silent together, a partition is likelier than their death, and
+their records are kept.
 """
 
 import dataclasses
@@ -28,6 +30,7 @@
 JOIN_RETRY_MAX_S = 2.0  # Seeds may be gone for good.
 SYNC_AFTER_MISMATCHES = 3
 PROBES_PER_RECONTACT = 20
+NEAR_PROBES = 2  # Probes in the own data centre for one in another.
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -104,12 +107,15 @@
         del membership.probes[timer.number]
         if pending.relay_for is not None:
             return []
+        gossip.probe_ended(state, answered=False)
         return _suspect(state, event, pending.target)
     pending.indirect = True
+    target = membership.table.get(pending.target.instance)
     helpers = [
         m.address
         for m in membership.alive_others
         if m.instance != pending.target.instance
+        and (target is None or m.data_centre == target.data_centre)
     ]
     chosen = entropy_lib.Entropy(bits=event.entropy).sample(
         helpers, INDIRECT_PROBES
@@ -131,12 +137,18 @@
         return []
     if member.state is not member_lib.MemberState.SUSPECT:
         return []
+    again = effects.SetTimer(timer=timer, delay_s=gossip.SUSPICION_S)
     if gossip.looks_partitioned(state):
-        again = effects.SetTimer(timer=timer, delay_s=gossip.SUSPICION_S)
+        membership.kept.add(timer.instance)
         if membership.partitioned:
             return [again]
         membership.partitioned = True
         return [again, effects.Log(code=logbook.Code.PARTITION_SUSPECTED)]
+    if timer.instance in membership.kept:
+        # Its silence was the partition's; it has not been asked since.
+        membership.kept.discard(timer.instance)
+        asked = PendingProbe(target=member.address)
+        return [again, *_probe(state, event, asked)]
     dead = dataclasses.replace(member, state=member_lib.MemberState.DEAD)
     return gossip.merge(state, event, [dead])
 
@@ -150,7 +162,7 @@
         number=message.number,
         version=state.config.version,
         table_digest=state.membership.table.digest,
-        updates=gossip.take_updates(state),
+        updates=gossip.take_updates(state, _place_of(state, event.sender)),
     )
     result.append(effects.SendDatagram(to=event.sender, message=ack))
     if state.membership.table.get(event.sender.instance) is None:
@@ -168,7 +180,9 @@
     if pending is not None:
         timer = timers.ProbeTimeout(number=message.number)
         result.append(effects.CancelTimer(timer=timer))
-        if pending.relay_for is not None:
+        if pending.relay_for is None:
+            gossip.probe_ended(state, answered=True)
+        else:
             asker, number = pending.relay_for
             relayed = dataclasses.replace(message, number=number, updates=())
             result.append(effects.SendDatagram(to=asker, message=relayed))
@@ -284,18 +298,28 @@
 ) -> address_lib.Address | None:
     """Return the next member to probe, in rounds of random order."""
     membership = state.membership
+    membership.probe_turn += 1
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    far = membership.far_present
+    if far and membership.probe_turn % (NEAR_PROBES + 1) == 0:
+        return draws.choice(far).address
     while True:
         if not membership.probe_order:
-            names = [m.instance for m in membership.present_others]
-            draws = entropy_lib.Entropy(bits=event.entropy)
+            names = [m.instance for m in membership.near_present]
             membership.probe_order = draws.sample(names, len(names))
             if not names:
-                return None
+                return draws.choice(far).address if far else None
         member = membership.table.get(membership.probe_order.pop())
         if member is not None and member.is_present:
             return member.address
 
 
+def _place_of(state: node.Node, address: address_lib.Address) -> str:
+    """Return the data centre of a node, the own one if it is not known."""
+    member = state.membership.table.get(address.instance)
+    return state.settings.data_centre if member is None else member.data_centre
+
+
 def _probe(
     state: node.Node, event: events.Event, pending: PendingProbe
 ) -> list[effects.Effect]:
@@ -303,7 +327,7 @@
     membership.probe_number += 1
     number = membership.probe_number
     membership.probes[number] = pending
-    updates = gossip.take_updates(state)
+    updates = gossip.take_updates(state, _place_of(state, pending.target))
     target = membership.table.get(pending.target.instance)
     if target and target.state is member_lib.MemberState.SUSPECT:
         # A suspect must learn of the suspicion to be able to refute it.
@@ -328,10 +352,28 @@
     member = state.membership.table.get(target.instance)
     if member is None or member.state is not member_lib.MemberState.ALIVE:
         return []
+    if not _judges(state, member):
+        return []
     suspect = dataclasses.replace(member, state=member_lib.MemberState.SUSPECT)
     return gossip.merge(state, event, [suspect])
 
 
+def _judges(state: node.Node, member: member_lib.Member) -> bool:
+    """Return whether this node may suspect a member.
+
+    Members of a data centre judge each other: between data centres, a link
+    that is cut is likelier than the death of what lies behind it. One that has
+    no neighbour is judged from outside.
+    """
+    if member.data_centre == state.settings.data_centre:
+        return True
+    return all(
+        other.instance == member.instance
+        or other.data_centre != member.data_centre
+        for other in state.membership.alive_others
+    )
+
+
 def _heard(
     state: node.Node,
     event: events.PeerMessage,
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -96,11 +96,14 @@
         probes: Probes under way, by number.
         probe_number: Number of the last probe.
         probe_order: Members still to be probed in this round.
+        probe_turn: Counts the probes, for those that go far.
+        probe_outcomes: Whether the last probes were answered.
         joined: Whether the table was synchronised with a seed.
         join_attempts: How often that was tried.
         gossip_set: Whether the gossip timer runs.
         mismatches: Contacts in a row whose table differed.
         partitioned: Whether many members are silent at once.
+        kept: Suspects that were not declared dead because of that.
     """
 
     own: member_lib.Member | None = None
@@ -111,11 +114,16 @@
     probes: dict[int, Any] = dataclasses.field(default_factory=dict)
     probe_number: int = 0
     probe_order: list[str] = dataclasses.field(default_factory=list)
+    probe_turn: int = 0
+    probe_outcomes: collections.deque[bool] = dataclasses.field(
+        default_factory=collections.deque
+    )
     joined: bool = False
     join_attempts: int = 0
     gossip_set: bool = False
     mismatches: int = 0
     partitioned: bool = False
+    kept: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def alive_others(self) -> list[member_lib.Member]:
@@ -127,6 +135,29 @@
         """The other members that are alive or suspected."""
         return self._others(self.table.present())
 
+    @property
+    def near_others(self) -> list[member_lib.Member]:
+        """The other members of the own data centre, without suspects."""
+        return [m for m in self.alive_others if self._is_near(m)]
+
+    @property
+    def far_others(self) -> list[member_lib.Member]:
+        """The members of other data centres, without suspects."""
+        return [m for m in self.alive_others if not self._is_near(m)]
+
+    @property
+    def near_present(self) -> list[member_lib.Member]:
+        """The other members of the own data centre, with suspects."""
+        return [m for m in self.present_others if self._is_near(m)]
+
+    @property
+    def far_present(self) -> list[member_lib.Member]:
+        """The members of other data centres, with suspects."""
+        return [m for m in self.present_others if not self._is_near(m)]
+
+    def _is_near(self, member: member_lib.Member) -> bool:
+        return member.data_centre == self.own.data_centre
+
     def _others(
         self, members: list[member_lib.Member]
     ) -> list[member_lib.Member]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,8 +1,12 @@
 """Tests of membership over fake networks."""
 
+import pytest
+
+from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_places
+from tests import test_tree
 
 
 class TestMembership:
@@ -79,3 +83,89 @@
             if other.settings.data_centre == "a":
                 known = other.state.membership.table.get("a0")
                 assert known.upstream is member_lib.UpstreamState.DRAINING
+
+
+class TestOneTableOfManyPlaces:
+    """The table covers two regions of two data centres, as on small fleets."""
+
+    @pytest.mark.parametrize("per_place", [6, 18])
+    def test_news_leaves_a_data_centre_from_there_alone(self, per_place):
+        """Else a change costs the paid link copies from all of the fleet.
+
+        Guard: `own in (data_centre, item[0].data_centre)` in gossip.
+        """
+        mesh = test_tree.make_flat_regions(per_place)
+        mesh.run(10)
+        for node in mesh.nodes.values():
+            node.performed.clear()
+        node = mesh.nodes["n1-1"]
+        announced = {"service": "x", "slots": 4, "cold": False}
+        node.feed(events.UpstreamAnnounced, **announced)
+        mesh.run(1.0)
+        crossing = [
+            (sender.name, update)
+            for sender in mesh.nodes.values()
+            for effect in sender.performed
+            if isinstance(effect, effects.SendDatagram)
+            for update in getattr(effect.message, "updates", ())
+            if sender.name[:2] != effect.to.instance[:2]
+            and update.instance == "n1-1"
+        ]
+        assert {sender[:2] for sender, _ in crossing} == {"n1"}
+        assert len(crossing) <= 40
+        unaware = [
+            other.name
+            for other in mesh.nodes.values()
+            if not other.state.membership.table.get("n1-1").service
+        ]
+        assert unaware == []
+
+    def test_cut_between_regions_makes_nobody_suspected(self):
+        """Guard: `_judges` in membership."""
+        mesh = test_tree.make_flat_regions(6)
+        north = {name for name in mesh.nodes if name.startswith("n")}
+        mesh.split(north)
+        mesh.run(40)
+        for node in mesh.nodes.values():
+            assert node.state.membership.table.suspect_count == 0
+            assert node.state.membership.table.present_count == 24
+
+    @pytest.mark.parametrize("per_place", [4, 8])
+    def test_node_cut_off_alone_keeps_its_neighbours(self, per_place):
+        """Its return must make nobody else look dead.
+
+        Guard: `probe_outcomes` in gossip.looks_partitioned, and `kept`.
+        """
+        mesh = test_tree.make_flat_regions(per_place)
+        mesh.run(5)
+        mesh.split({"s2-1"})
+        mesh.run(20)
+        table = mesh.nodes["s2-1"].state.membership.table
+        assert table.present_count == 4 * per_place
+        mesh.cut.clear()
+        for _ in range(10):
+            mesh.run(1)
+            for node in mesh.nodes.values():
+                if node.name != "s2-1":
+                    count = node.state.membership.table.present_count
+                    assert count >= 4 * per_place - 1
+        for node in mesh.nodes.values():
+            alive = node.state.membership.table.alive()
+            assert len(alive) == 4 * per_place
+
+    def test_all_neighbours_but_one_may_die_at_once(self):
+        mesh = test_tree.make_flat_regions(4)
+        mesh.run(5)
+        for name in ("s2-1", "s2-2", "s2-3"):
+            mesh.nodes[name].crash()
+        mesh.run(12)
+        for node in mesh.nodes.values():
+            if node.alive:
+                assert node.state.membership.table.present_count == 13
+
+    def test_member_without_neighbours_is_judged_from_outside(self):
+        mesh = test_tree.make_flat_regions(1)
+        mesh.nodes["s2-0"].crash()
+        mesh.run(30)
+        table = mesh.nodes["n1-0"].state.membership.table
+        assert not table.get("s2-0").is_present
