Keep a leaving upstream out of use, whatever its state was

Callers' work reached an upstream that had said it leaves. A notice of leaving was dropped when the upstream was withdrawn at that moment (three connections in a row refused, as an upstream does beyond its cap); UpstreamRecheck later offered it again. The class: a state that is set back without asking what is known. The notice now always sets the state, draining announcements are kept in the list of those that left, and a farewell without a start time is that of the known start.

Four tests fail before: withdrawn and leaving (both notices), late heartbeat without a sequence, farewell without a start time.

--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -45,6 +45,8 @@
         slots: Calls that the upstream runs at once.
         upstream: What the upstream announced.
         region: Region of its data centre.
+        leaving: Name and start of the upstream that announced that it leaves;
+            empty if none has.
     """
 
     address: address_lib.Address
@@ -56,6 +58,7 @@
     slots: int
     upstream: UpstreamState
     region: str = ""
+    leaving: str = ""
 
     @property
     def instance(self) -> str:
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -53,11 +53,11 @@
 @step.step.register
 def _(event: events.UpstreamDraining, state: node.Node) -> list[effects.Effect]:
     known = state.upstream
+    is_known = event.upstream_id in ("", known.upstream_id)
+    born_ms = event.born_ms or (known.born_ms if is_known else 0)
     if event.upstream_id:
-        known.left.append(_start_name(event.upstream_id, event.born_ms))
-    if event.upstream_id not in ("", known.upstream_id):
-        return []
-    if event.born_ms and event.born_ms < known.born_ms:
+        known.left.append(_start_name(event.upstream_id, born_ms))
+    if not is_known or born_ms < known.born_ms:
         return []
     return drain(state, event)
 
@@ -119,6 +119,8 @@
         result.append(effects.SetTimer(timer=timer, delay_s=delay_s))
     if event.draining:
         state.admission.service = event.service
+        if event.upstream_id:
+            known.left.append(_start_name(event.upstream_id, event.born_ms))
         return result + drain(state, event)
     state.admission.announce(
         service=event.service,
@@ -149,6 +151,7 @@
             service=event.service,
             slots=event.slots,
             upstream=member_lib.UpstreamState.READY,
+            leaving="",
         ),
         *gossip.spread_now(state, event),
     ]
@@ -166,15 +169,27 @@
 
 
 def drain(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Stop giving the own upstream new work and tell the others."""
-    if not state.admission.accepts:
+    """Stop giving the own upstream new work and tell the others.
+
+    One that is withdrawn for a while leaves too, and must not be offered again
+    when that time is over.
+    """
+    is_draining = state.admission.upstream is member_lib.UpstreamState.DRAINING
+    if is_draining or not state.admission.service:
         return []
     state.admission.upstream = member_lib.UpstreamState.DRAINING
+    known = state.upstream
+    leaving = ""
+    if known.upstream_id:
+        leaving = _start_name(known.upstream_id, known.born_ms)
     refused = state.admission.refuse_all(Reason.DRAINING)
     return [
         effects.Log(code=logbook.Code.UPSTREAM_DRAINING),
         *gossip.change_own(
-            state, event, upstream=member_lib.UpstreamState.DRAINING
+            state,
+            event,
+            upstream=member_lib.UpstreamState.DRAINING,
+            leaving=leaving,
         ),
         *gossip.spread_now(state, event),
         *attempts.perform(state, event, refused),
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -1,5 +1,7 @@
 """Tests of announcements: which process the own upstream is."""
 
+import pytest
+
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import reducer
@@ -38,6 +40,21 @@
         assert isinstance(result, own_upstream.Announced)
         return result.taken
 
+    def withdraw(self) -> None:
+        """Let three connections to the upstream fail."""
+        for work_id in range(own_upstream.UNREACHABLE_MAX):
+            failure = own_upstream.outcome.Failure(
+                outcome=own_upstream.outcome.Outcome.NOT_RUN,
+                reason=own_upstream.Reason.UPSTREAM_UNREACHABLE,
+            )
+            self.node.feed(
+                events.WorkFinished,
+                work_id=work_id,
+                service_time_s=0.1,
+                failure=failure,
+            )
+        assert self.state.admission.upstream is UpstreamState.NONE
+
     def used(self) -> list[str]:
         """Return the names of the upstreams used, in order."""
         return [
@@ -100,6 +117,38 @@
         assert not scene.announce(sequence=2)
         assert scene.announce(sequence=3, draining=True)
 
+    @pytest.mark.parametrize("says", ["farewell", "draining"])
+    def test_withdrawn_upstream_that_leaves_is_not_offered_again(self, says):
+        """Guard: drain in own_upstream, for one that takes no work."""
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.withdraw()
+        if says == "farewell":
+            scene.node.feed(
+                events.UpstreamDraining, upstream_id="i-1", born_ms=1
+            )
+        else:
+            scene.announce(sequence=2, draining=True)
+        scene.mesh.run(40)
+        assert scene.state.admission.upstream is UpstreamState.DRAINING
+        assert scene.state.membership.own.upstream is UpstreamState.DRAINING
+
+    def test_draining_binds_though_a_late_heartbeat_has_no_sequence(self):
+        """Guard: `known.left.append` in own_upstream._take."""
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.announce(sequence=2, draining=True)
+        assert not scene.announce(sequence=0)
+        assert not scene.state.admission.accepts
+
+    def test_farewell_without_a_start_time_is_that_of_the_known_start(self):
+        """Guard: `born_ms = event.born_ms or` in own_upstream."""
+        scene = Scene()
+        scene.announce(sequence=1, born=7)
+        scene.node.feed(events.UpstreamDraining, upstream_id="i-1")
+        assert not scene.announce(sequence=2, born=7)
+        assert not scene.state.admission.accepts
+
 
 class TestSilence:
     def test_silent_upstream_is_withdrawn_until_it_is_heard(self):
