--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -42,12 +42,12 @@
 
     Attributes:
         request_id: The request's number at the node that asks.
-        snapshot: The configuration.
+        snapshot: The configuration, packed.
         base_version: Version that it must replace; -1 for any older one.
     """
 
     request_id: int
-    snapshot: catalog.Snapshot
+    snapshot: bytes
     base_version: int = -1
 
 
--- a/src/monsoonpass/core/distribution/submission.py
+++ b/src/monsoonpass/core/distribution/submission.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.distribution import config_messages as messages
 from monsoonpass.core.distribution import distribution
+from monsoonpass.core.distribution import packing
 
 RETRY_S = 0.3
 FORWARD_TIMEOUT_S = 1.5
@@ -91,10 +92,15 @@
 def _(
     message: messages.SubmitForward, event: events.PeerMessage, state: node.Node
 ) -> list[effects.Effect]:
+    try:
+        snapshot = packing.unpack(message.snapshot, catalog_lib.Snapshot)
+    except errors.CatalogError:
+        reply = _reply(state, message.request_id, Status.INVALID)
+        return [effects.Send(to=event.sender, message=reply)]
     job = Job(
         origin=event.sender,
         request_id=message.request_id,
-        snapshot=message.snapshot,
+        snapshot=snapshot,
         base_version=message.base_version,
     )
     return _enqueue(state, event, job)
@@ -168,7 +174,7 @@
         pending.outstanding += 1
         forward = messages.SubmitForward(
             request_id=request_id,
-            snapshot=pending.snapshot,
+            snapshot=packing.pack(pending.snapshot),
             base_version=pending.base_version,
         )
         result.append(effects.Send(to=event.sender, message=forward))
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -4,10 +4,14 @@
 
 import pytest
 
+from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass.core import effects
 from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import config_messages
 from monsoonpass.core.distribution import packing
 from tests import fake_mesh
+from tests import fake_places
 from tests import test_host_route
 
 
@@ -57,3 +61,22 @@
         catalog = fake_mesh.make_catalog(1, *(f"s{n}" for n in range(200)))
         with pytest.raises(errors.BadContentError):
             packing.unpack(catalog.packed, catalog_lib.Snapshot)
+
+
+class TestSubmission:
+    def test_forwarded_submission_is_packed(self):
+        """Else each change costs the paid link the plain configuration."""
+        mesh = fake_places.make_two_places()
+        mesh.run(6)
+        services = tuple(f"service-{number}" for number in range(300))
+        catalog = fake_mesh.make_catalog(1, *services)
+        mesh.submit("b1", catalog)
+        mesh.run(2)
+        sizes = [
+            len(codec.encode(effect.message))
+            for effect in mesh.nodes["b1"].performed
+            if isinstance(effect, effects.Send)
+            and isinstance(effect.message, config_messages.SubmitForward)
+        ]
+        assert sizes and max(sizes) < len(codec.encode(catalog.snapshot())) / 4
+        assert fake_places.versions(mesh) == {1}
