Remember with others which upstream leaves; check again before sending

What has left was known to one process alone. A node that restarted beside an upstream that had said farewell, and hears nothing more of it, offered it again on a late announcement from before. The member record now names the upstream that leaves, members keep it, and tell it in the answer to the first synchronisation of a new process, which waits up to 1 s for it before it offers an upstream. A call that waited for a connection while its upstream said that it leaves is refused as not run instead of sent.

--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -7,8 +7,10 @@
 their records are kept.
 """
 
+import collections
 import dataclasses
 
+from monsoonpass.core import bounded
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
@@ -28,6 +30,8 @@
 SUSPICION_S = 3.0
 PARTITION_SHARE = 0.3
 PARTITION_MIN = 3
+LEFT_MAX = 4096  # Instances; more than a data centre has.
+LEFT_NAMES_MAX = 4  # Upstreams of one instance that leave within a minute.
 PARTITION_PROBES = 3  # As many as end while a suspicion lasts.
 
 
@@ -85,6 +89,7 @@
         if update.instance == state.settings.address.instance:
             result += _refute(state, event, update)
             continue
+        _remember_leaving(state, update)
         known = table.get(update.instance)
         if known is not None and not update.supersedes(known):
             continue
@@ -99,6 +104,20 @@
     return result + _check_healed(state)
 
 
+def _remember_leaving(state: node.Node, update: member_lib.Member) -> None:
+    """Keep which upstream leaves, for a new process of its node."""
+    if not update.leaving:
+        return
+    left = state.membership.left
+    if update.instance not in left:
+        bounded.make_room(left, LEFT_MAX)
+    names = left.setdefault(
+        update.instance, collections.deque(maxlen=LEFT_NAMES_MAX)
+    )
+    if update.leaving not in names:
+        names.append(update.leaving)
+
+
 def _log_change(
     known: member_lib.Member | None, update: member_lib.Member
 ) -> list[effects.Effect]:
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -148,8 +148,11 @@
         members: All records that the sender holds in them.
         wants_reply: Whether the receiver should send its records of the same
             buckets back.
+        left: Upstreams of the receiver that announced that they leave, as far
+            as the sender remembers. Its process may be new and not know.
     """
 
     buckets: tuple[int, ...]
     members: tuple[Member, ...]
     wants_reply: bool
+    left: tuple[str, ...] = ()
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -22,6 +22,7 @@
 from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import own_upstream
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.4
@@ -216,6 +217,7 @@
         buckets=differing,
         members=tuple(table.in_buckets(differing)),
         wants_reply=True,
+        left=tuple(state.membership.left.get(event.sender.instance, ())),
     )
     return [*result, effects.Send(to=event.sender, message=reply)]
 
@@ -231,7 +233,8 @@
     membership.joined |= message.wants_reply and event.sender.instance in seeds
     membership.mismatches = 0
     mine = membership.table.in_buckets(message.buckets)
-    result = gossip.merge(state, event, message.members)
+    result = own_upstream.remind(state, event, message.left)
+    result += gossip.merge(state, event, message.members)
     if not message.wants_reply or not message.buckets:
         return result
     reply = member_lib.SyncReply(
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.membership import member as member_lib
 
 UNREACHABLE_MAX = 3
+JOIN_WAIT_S = 1.0  # Several tries to join; a seed may be starting too.
 RECHECK_S = 1.0
 RECHECK_MAX_S = 30.0
 Reason = outcome.Reason
@@ -38,7 +39,12 @@
     taken = _is_newer(state, event)
     taken = taken and (event.draining or not state.stopping)
     result: list[effects.Effect] = []
-    if taken:
+    if taken and _must_wait(state, event):
+        if state.upstream.waiting is None:
+            timer = timers.OfferDue()
+            result.append(effects.SetTimer(timer=timer, delay_s=JOIN_WAIT_S))
+        state.upstream.waiting = event
+    elif taken:
         result += _take(state, event)
     else:
         result.append(_ignored(event))
@@ -62,6 +68,56 @@
     return drain(state, event)
 
 
+def _must_wait(state: node.Node, event: events.UpstreamAnnounced) -> bool:
+    """Return whether members may still tell that this upstream leaves.
+
+    A late announcement may reach a process that has just started, after the
+    one before it has acknowledged that the upstream leaves.
+    """
+    is_alone = not state.settings.local_seeds
+    if event.draining or is_alone or state.membership.joined:
+        return False
+    return event.now_s - state.started_s < JOIN_WAIT_S
+
+
+def remind(
+    state: node.Node, event: events.Event, names: tuple[str, ...]
+) -> list[effects.Effect]:
+    """Take what members remember of upstreams that leave, and offer the own.
+
+    Args:
+        state: The node.
+        event: The cause.
+        names: Upstreams of this instance that announced that they leave.
+
+    Returns:
+        Effects.
+    """
+    known = state.upstream
+    known.left.extend(name for name in names if name not in known.left)
+    result: list[effects.Effect] = []
+    if _start_name(known.upstream_id, known.born_ms) in names:
+        result += drain(state, event)
+    if state.membership.joined:
+        result += _offer_waiting(state)
+    return result
+
+
+@step.expire.register
+def _(
+    timer: timers.OfferDue, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return _offer_waiting(state)
+
+
+def _offer_waiting(state: node.Node) -> list[effects.Effect]:
+    """Take the announcement that waited, unless its upstream leaves."""
+    event, state.upstream.waiting = state.upstream.waiting, None
+    if event is None or not _is_newer(state, event):
+        return []
+    return _take(state, event)
+
+
 @step.expire.register
 def _(
     timer: timers.UpstreamSilence, event: events.TimerFired, state: node.Node
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -104,6 +104,7 @@
         mismatches: Contacts in a row whose table differed.
         partitioned: Whether many members are silent at once.
         kept: Suspects that were not declared dead because of that.
+        left: Upstreams that announced that they leave, by instance.
     """
 
     own: member_lib.Member | None = None
@@ -124,6 +125,9 @@
     mismatches: int = 0
     partitioned: bool = False
     kept: set[str] = dataclasses.field(default_factory=set)
+    left: dict[str, collections.deque[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def alive_others(self) -> list[member_lib.Member]:
@@ -294,6 +298,8 @@
         port: Where it listens.
         heard_s: When it was last heard, by announcement or answer.
         left: Names of those that said they leave, oldest first.
+        waiting: What an upstream announced before this process could be told
+            of those that left.
     """
 
     upstream_id: str = ""
@@ -304,6 +310,7 @@
     left: collections.deque[str] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=16)
     )
+    waiting: Any = None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -356,6 +363,7 @@
         keyed_calls: Claims of calls with a key, by call id.
         abandoned_claims: Claims whose calls were given up unrun.
         surveys: Status surveys under way, by number.
+        started_s: When the process started.
         stopping: Whether a planned stop has begun.
         stop_at_s: When a planned stop ends at the latest.
         stop_after_s: When a planned stop ends at the earliest.
@@ -383,6 +391,7 @@
     abandoned_claims: dict[int, Any] = dataclasses.field(default_factory=dict)
     surveys: dict[int, Any] = dataclasses.field(default_factory=dict)
     survey_number: int = 0
+    started_s: float = 0.0
     stopping: bool = False
     stop_at_s: float = 0.0
     stop_after_s: float = 0.0
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -36,6 +36,7 @@
 @step_lib.step.register
 def _(event: events.Started, state: node.Node) -> list[effects.Effect]:
     state.wall_offset_ms = event.wall_ms - int(event.now_s * 1000)
+    state.started_s = event.now_s
     state.admission.queue_limit = state.settings.queue_limit
     distribution.start(state, event)
     return [
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -52,6 +52,11 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OfferDue(Timer):
+    """An upstream announced before the node had joined is due to be offered."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ColdStartRetry(Timer):
     """The first version was not obtained yet."""
--- a/src/monsoonpass/runtime/owner.py
+++ b/src/monsoonpass/runtime/owner.py
@@ -12,6 +12,7 @@
 from monsoonpass.core import events
 from monsoonpass.core.calls import answers
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.membership import member as member_lib
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import tracing
@@ -182,6 +183,7 @@
         )
         whole = False
         try:
+            self._check_leaving()
             await self._send_head(work, span, connection)
             head = await self._receive_head(work, connection)
             work.answer_begun = True
@@ -201,6 +203,16 @@
                     connection, engine_lib.now_s(), reuse=whole
                 )
 
+    def _check_leaving(self) -> None:
+        """Keep back a call whose upstream left while it was connected.
+
+        Raises:
+            NotRunError: The upstream announced that it leaves.
+        """
+        own = self._engine.state.admission.upstream
+        if own is member_lib.UpstreamState.DRAINING:
+            raise NotRunError(outcome.Reason.DRAINING)
+
     async def _receive_head(
         self, work: Work, connection: upstream.Connection
     ) -> upstream.Head:
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -8,6 +8,7 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import own_upstream
 from tests import fake_mesh
+from tests import test_tree
 
 UpstreamState = member_lib.UpstreamState
 
@@ -150,6 +151,64 @@
         assert not scene.state.admission.accepts
 
 
+class TestRestartOfTheNode:
+    """The upstream runs on while the process beside it is new."""
+
+    def make_left(self) -> fake_mesh.FakeMesh:
+        """Return nodes of which one restarts after its upstream left."""
+        mesh = test_tree.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        self.announce(node, sequence=3)
+        mesh.run(2)
+        node.feed(events.UpstreamDraining, upstream_id="i-1", born_ms=1)
+        mesh.run(0.3)
+        node.crash()
+        mesh.run(0.2)
+        node.start()
+        return mesh
+
+    def announce(self, node, *, sequence, born=1):
+        node.feed(
+            events.UpstreamAnnounced,
+            service="shop",
+            slots=4,
+            cold=False,
+            port=9000,
+            upstream_id="i-1",
+            born_ms=born,
+            sequence=sequence,
+        )
+
+    @pytest.mark.parametrize("after_s", [0.0, 0.2, 2.0])
+    def test_late_heartbeat_of_one_that_left_offers_it_not_again(self, after_s):
+        """Guard: `left` in SyncReply, and `_must_wait` in own_upstream."""
+        mesh = self.make_left()
+        node = mesh.nodes["s2-1"]
+        mesh.run(after_s)
+        self.announce(node, sequence=4)
+        for _ in range(40):
+            mesh.run(0.1)
+            assert not node.state.admission.accepts
+
+    def test_next_start_under_the_same_name_is_offered(self):
+        mesh = self.make_left()
+        node = mesh.nodes["s2-1"]
+        self.announce(node, sequence=1, born=2)
+        mesh.run(own_upstream.JOIN_WAIT_S)
+        assert node.state.admission.accepts
+
+    def test_upstream_is_offered_though_nobody_answers(self):
+        mesh = self.make_left()
+        node = mesh.nodes["s2-1"]
+        node.crash()
+        mesh.split({"s2-1"})
+        node.start()
+        self.announce(node, sequence=1, born=2)
+        assert not node.state.admission.accepts
+        mesh.run(own_upstream.JOIN_WAIT_S)
+        assert node.state.admission.accepts
+
+
 class TestSilence:
     def test_silent_upstream_is_withdrawn_until_it_is_heard(self):
         """Guard: the timer set in own_upstream._take."""
