Bound the bodies that peers may send at once by the link

Each of ten uploads to one instance had 256 KB of credit: 2.6 MB, seven seconds of a link of 3 Mbit/s, in front of versions, probes and short calls. Credit for all bodies together is now what the link carries in 0.15 s, given in turns; each body may always send one chunk, so that a slow sender blocks nobody.

--- a/src/monsoonpass/border/settings_sections.py
+++ b/src/monsoonpass/border/settings_sections.py
@@ -228,6 +228,7 @@
     drain_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 30.0
     kill_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
     stop_after_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
+    link_mbit_s: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 0.0
 
 
 class TelemetrySection(Section):
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -18,6 +18,7 @@
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import front
 from monsoonpass.runtime import http_server
+from monsoonpass.runtime import inflow
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import logs
 from monsoonpass.runtime import mesh
@@ -159,6 +160,9 @@
             mesh=self._mesh,
             owner=self._owner,
             next_number=self._front.next_number,
+            inflow=inflow.Inflow(
+                limit_bytes=inflow.limit_bytes(settings.limits.link_mbit_s)
+            ),
             incarnation=self._incarnation,
         )
         token = settings.operators.token
--- a/src/monsoonpass/runtime/peer_calls.py
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -10,6 +10,7 @@
 from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import inflow as inflow_lib
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import mesh as mesh_lib
 from monsoonpass.runtime import outcomes as outcomes_lib
@@ -37,6 +38,7 @@
         link: link_lib.Link,
         call: int,
         outcomes: outcomes_lib.Outcomes,
+        inflow: inflow_lib.Inflow,
     ):
         self._engine = engine
         self._mesh = mesh
@@ -44,6 +46,7 @@
         self._call = call
         self._outcomes = outcomes
         self._begun = False
+        self._ticket = inflow.ticket(self._grant)
         self.credit = body_lib.Credit(size_bytes=body_lib.WINDOW_BYTES)
 
     @property
@@ -56,7 +59,14 @@
         self._link = link
 
     def request_credit(self, size_bytes: int) -> None:
-        """Let the entry node send more of the request's body."""
+        """Let the entry node send more of the request's body, in turn."""
+        self._ticket.want(size_bytes)
+
+    def arrived(self, size_bytes: int) -> None:
+        """Count a part of the request's body."""
+        self._ticket.arrived(size_bytes)
+
+    def _grant(self, size_bytes: int) -> None:
         message = messages.CallCredit(call=self._call, size_bytes=size_bytes)
         self._mesh.send_on(self._link, message)
 
@@ -64,6 +74,7 @@
         self, status: int, headers: Any, body: bytes, digest: bytes
     ) -> None:
         """Send a whole answer in one message."""
+        self._ticket.close()
         message = messages.AnswerHead(
             call=self._call,
             status=status,
@@ -103,6 +114,7 @@
 
     async def end(self, digest: bytes) -> None:
         """End the answer with the digest of its body."""
+        self._ticket.close()
         self._outcomes.finished(
             self._link.peer.instance, self._failed(_ANSWER_LOST)
         )
@@ -113,6 +125,7 @@
 
     def fail(self, failure: outcome.Failure) -> None:
         """End the call without a whole answer."""
+        self._ticket.close()
         message = self._failed(failure)
         self._outcomes.finished(self._link.peer.instance, message)
         self._mesh.send_on(self._link, message)
@@ -136,12 +149,14 @@
         mesh: mesh_lib.Mesh,
         owner: owner_lib.Owner,
         next_number: Callable[[], int],
+        inflow: inflow_lib.Inflow,
         incarnation: int,
     ):
         self._engine = engine
         self._mesh = mesh
         self._owner = owner
         self._next_number = next_number
+        self._inflow = inflow
         self._incarnation = incarnation
         self._outcomes = outcomes_lib.Outcomes()
         self._work_ids: dict[tuple[str, int], int] = {}
@@ -172,6 +187,7 @@
         if work is None:
             return True
         if isinstance(message, messages.CallBody):
+            work.sink.arrived(len(message.body))
             work.pipe.push(message.body, ended=message.ended)
         elif isinstance(message, messages.AnswerCredit):
             work.sink.credit.grant(message.size_bytes)
@@ -254,6 +270,7 @@
             link=link,
             call=message.call,
             outcomes=self._outcomes,
+            inflow=self._inflow,
         )
         self._owner.works[work_id] = owner_lib.Work(
             work_id=work_id,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,6 +39,7 @@
         "retryBudgetSlack": 60,
         "budgetWindow": 10,
     },
+    "limits": {"linkMbps": 3.5},
     "service": "shop",
 }
 
@@ -89,6 +90,11 @@
         ]
         assert {seed.address.port for seed in core.seeds} == {7000}
         assert len(read.listen.operators) == 3
+        assert read.limits.link_mbit_s == 3.5
+
+    def test_link_that_is_not_told_is_taken_for_a_wide_one(self):
+        read = settings_lib.parse(render({**FIELDS, "limits": None}))
+        assert read.limits.link_mbit_s == 0.0
 
     def test_it_gives_settings_for_a_voter(self):
         fields = {
