--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -283,9 +283,9 @@
         return lambda direction, size: counters[direction].inc(size)
 
     def _count_message(self, instance: str) -> Callable[[Any, int], None]:
-        distance = self._distance(instance)
+        # The table may learn where a peer is after its link has opened.
         return lambda message, size_bytes: self._traffic.sent(
-            message, distance, size_bytes
+            message, self._distance(instance), size_bytes
         )
 
     def _distance(self, instance: str) -> str:
