Offer again only an upstream that could not be reached

The class of the drain fault, looked for elsewhere: a recheck that was set when an upstream could not be reached also offered one that had been replaced, or had fallen silent, since then. Two tests fail before.

--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -273,10 +273,10 @@
     own.unreachable_count = 0
     own.withdrawals += 1
     delay_s = min(RECHECK_S * 2**own.withdrawals, RECHECK_MAX_S)
-    return [
-        effects.SetTimer(timer=timers.UpstreamRecheck(), delay_s=delay_s),
-        *_withdraw(state, event, Reason.UPSTREAM_UNREACHABLE),
-    ]
+    result = _withdraw(state, event, Reason.UPSTREAM_UNREACHABLE)
+    state.upstream.may_return = True
+    timer = timers.UpstreamRecheck()
+    return [effects.SetTimer(timer=timer, delay_s=delay_s), *result]
 
 
 def _withdraw(
@@ -284,6 +284,7 @@
 ) -> list[effects.Effect]:
     own = state.admission
     own.upstream = member_lib.UpstreamState.NONE
+    state.upstream.may_return = False
     refused = own.refuse_all(reason)
     return [
         effects.Log(
@@ -299,9 +300,10 @@
 def _(
     timer: timers.UpstreamRecheck, event: events.TimerFired, state: node.Node
 ) -> list[effects.Effect]:
-    """Offer a withdrawn upstream again."""
+    """Offer an upstream again that could not be reached for a while."""
     own = state.admission
-    if own.upstream is not member_lib.UpstreamState.NONE or state.stopping:
+    is_withdrawn = own.upstream is member_lib.UpstreamState.NONE
+    if not is_withdrawn or not state.upstream.may_return or state.stopping:
         return []
     own.upstream = member_lib.UpstreamState.READY
     return gossip.change_own(state, event, upstream=own.upstream)
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -297,6 +297,8 @@
         sequence: Number of its last announcement.
         port: Where it listens.
         heard_s: When it was last heard, by announcement or answer.
+        may_return: Whether it is withdrawn only because it could not be
+            reached, and is offered again after a while.
         left: Names of those that said they leave, oldest first.
         waiting: What an upstream announced before this process could be told
             of those that left.
@@ -307,6 +309,7 @@
     sequence: int = 0
     port: int = 0
     heard_s: float = float("-inf")
+    may_return: bool = False
     left: collections.deque[str] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=16)
     )
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -41,19 +41,22 @@
         assert isinstance(result, own_upstream.Announced)
         return result.taken
 
+    def fail(self, reason) -> None:
+        """Let a call end before it has run."""
+        failure = own_upstream.outcome.Failure(
+            outcome=own_upstream.outcome.Outcome.NOT_RUN, reason=reason
+        )
+        self.node.feed(
+            events.WorkFinished,
+            work_id=1,
+            service_time_s=0.1,
+            failure=failure,
+        )
+
     def withdraw(self) -> None:
         """Let three connections to the upstream fail."""
-        for work_id in range(own_upstream.UNREACHABLE_MAX):
-            failure = own_upstream.outcome.Failure(
-                outcome=own_upstream.outcome.Outcome.NOT_RUN,
-                reason=own_upstream.Reason.UPSTREAM_UNREACHABLE,
-            )
-            self.node.feed(
-                events.WorkFinished,
-                work_id=work_id,
-                service_time_s=0.1,
-                failure=failure,
-            )
+        for _ in range(own_upstream.UNREACHABLE_MAX):
+            self.fail(own_upstream.Reason.UPSTREAM_UNREACHABLE)
         assert self.state.admission.upstream is UpstreamState.NONE
 
     def used(self) -> list[str]:
@@ -209,6 +212,33 @@
         assert node.state.admission.accepts
 
 
+class TestRecheck:
+    def test_unreachable_upstream_is_offered_again(self):
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.withdraw()
+        scene.mesh.run(3)
+        assert scene.state.admission.accepts
+
+    def test_replaced_upstream_is_not_offered_by_an_older_recheck(self):
+        """Guard: `may_return` in own_upstream."""
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.withdraw()
+        scene.announce(sequence=2)
+        scene.fail(own_upstream.Reason.UPSTREAM_REPLACED)
+        scene.mesh.run(40)
+        assert scene.state.admission.upstream is UpstreamState.NONE
+
+    def test_silent_upstream_is_not_offered_by_an_older_recheck(self):
+        scene = Scene(silence_s=1.0)
+        scene.announce(sequence=1)
+        scene.withdraw()
+        scene.announce(sequence=2)
+        scene.mesh.run(40)
+        assert scene.state.admission.upstream is UpstreamState.NONE
+
+
 class TestSilence:
     def test_silent_upstream_is_withdrawn_until_it_is_heard(self):
         """Guard: the timer set in own_upstream._take."""
