--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,7 +1,9 @@
 """Slopes for the capacity page: cost against size, at three sizes or more."""
 
 from collections.abc import Callable
+import dataclasses
 import gc
+import itertools
 import pathlib
 import statistics
 import time
@@ -115,6 +117,7 @@
 
 def _members(sizes: list[int]) -> dict[str, object]:
     memory, probe, ping, children = {}, {}, {}, {}
+    news: dict[int, float] = {}
     for size in sizes:
         memory[size] = _memory_bytes(lambda s=size: _make_node(s)) / 1024
         state = _make_node(size)
@@ -130,6 +133,7 @@
             message=message,
         )
         ping[size] = _time_ms(lambda s=state, e=received: reducer.step(e, s))
+        news[size] = _time_ms(_make_news_step(state))
         push = config_messages.Push(
             version=0,
             delta=catalog_lib.EMPTY.delta_to(catalog_lib.EMPTY).packed,
@@ -140,10 +144,29 @@
         "state_kib": _report(memory, "KiB per member"),
         "probe_ms": _report(probe, "ms per member"),
         "ping_ms": _report(ping, "ms per member"),
+        "news_ms": _report(news, "ms per member"),
         "push_order_ms": _report(children, "ms per member"),
     }
 
 
+def _make_news_step(state: node_lib.Node) -> Callable[[], object]:
+    """Return a function that lets a node hear of one changed member."""
+    member = _make_member(1)
+    numbers = itertools.count(member.incarnation + 1)
+
+    def step() -> object:
+        changed = dataclasses.replace(member, incarnation=next(numbers))
+        event = events.PeerMessage(
+            now_s=2.0,
+            entropy=5,
+            sender=_make_member(2).address,
+            message=member_lib.Rumour(updates=(changed,)),
+        )
+        return reducer.step(event, state)
+
+    return step
+
+
 def _pass_on_anew(state, push) -> None:
     """Pass a push on as if it had not been before."""
     state.config.passed.clear()
--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -158,10 +158,12 @@
 ) -> list[effects.Effect]:
     """Queue a record for the next datagrams."""
     membership = state.membership
-    size = len(membership.near_others)
-    count = TRANSMISSIONS_PER_DOUBLING * max(size.bit_length(), 1)
-    if update.data_centre == state.settings.data_centre:
-        count += len(_far_by_place(state))
+    own = state.settings.data_centre
+    places = membership.table.present_by_place
+    size = max(places.get(own, 0) - 1, 1)
+    count = TRANSMISSIONS_PER_DOUBLING * size.bit_length()
+    if update.data_centre == own:
+        count += len(places) - 1
     membership.updates[update.instance] = [update, count]
     if membership.gossip_set:
         return []
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -303,14 +303,15 @@
     membership = state.membership
     membership.probe_turn += 1
     draws = entropy_lib.Entropy(bits=event.entropy)
-    far = membership.far_present
-    if far and membership.probe_turn % (NEAR_PROBES + 1) == 0:
-        return draws.choice(far).address
+    has_far = len(membership.table.present_by_place) > 1
+    if has_far and membership.probe_turn % (NEAR_PROBES + 1) == 0:
+        return draws.choice(membership.far_present).address
     while True:
         if not membership.probe_order:
             names = [m.instance for m in membership.near_present]
             membership.probe_order = draws.sample(names, len(names))
             if not names:
+                far = membership.far_present
                 return draws.choice(far).address if far else None
         member = membership.table.get(membership.probe_order.pop())
         if member is not None and member.is_present:
