--- /dev/null
+++ b/tests/test_narrow_links.py
@@ -0,0 +1,124 @@
+"""Tests of distribution over links that a large configuration fills."""
+
+import collections
+import dataclasses
+
+from monsoonpass import codec
+from monsoonpass.core import effects
+from monsoonpass.core.distribution import catalog as catalog_lib
+from tests import fake_mesh
+from tests import test_host_route
+
+LINK_BYTES_PER_S = 3.5e6 / 8
+HEADER_BYTES = 60  # Of the network, and of the frame or datagram.
+IN_FORCE_S = 2.5  # The users' bound for a version on every node in touch.
+ROUTES = 1120
+PLACES = (("n1", "north"), ("n2", "north"), ("s1", "south"), ("s2", "south"))
+
+
+class NarrowMesh(fake_mesh.FakeMesh):
+    """A mesh in which each node sends and receives through a narrow link.
+
+    Attributes:
+        crossed_bytes: Bytes between regions.
+    """
+
+    def __init__(self, *, seed: int):
+        super().__init__(seed=seed)
+        self.crossed_bytes = 0
+        self._free_s: dict[tuple[str, str], float] = collections.defaultdict(
+            float
+        )
+        self._sizes: dict[int, tuple[object, int]] = {}
+
+    def transmit(self, sender: fake_mesh.FakeNode, effect) -> None:
+        """Carry a message once the links at both ends are free."""
+        target = self.nodes.get(effect.to.instance)
+        if target is None or target is sender:
+            super().transmit(sender, effect)
+            return
+        size_bytes = self._size_bytes(effect)
+        if sender.settings.region != target.settings.region:
+            self.crossed_bytes += size_bytes
+        due_s = self.now_s
+        for end in ((sender.name, "out"), (target.name, "in")):
+            due_s = max(due_s, self._free_s[end])
+            due_s += size_bytes / LINK_BYTES_PER_S
+            self._free_s[end] = due_s
+        delay_s = due_s - self.now_s + self.random.uniform(0.0005, 0.008)
+        self.at(delay_s, self._deliver, sender, target, effect.message)
+
+    def _size_bytes(self, effect: effects.Effect) -> int:
+        """Return a message's size; it is often sent to many."""
+        known = self._sizes.get(id(effect.message))
+        if known is None or known[0] is not effect.message:
+            size_bytes = len(codec.encode(effect.message)) + HEADER_BYTES
+            known = (effect.message, size_bytes)
+            self._sizes[id(effect.message)] = known
+        return known[1]
+
+
+def make_mesh(per_place: int) -> NarrowMesh:
+    """Return a running fleet with one table over two regions."""
+    mesh = NarrowMesh(seed=1)
+    voters = ("n1-0", "n2-0", "s1-0")
+    seeds = tuple(fake_mesh.seed(name, name[:2]) for name in voters)
+    for place, region in PLACES:
+        for number in range(per_place):
+            node = mesh.add(
+                f"{place}-{number}",
+                data_centre=place,
+                disk=number == 0,
+                seeds=seeds,
+                voters=voters,
+                flat=True,
+            )
+            node.settings = dataclasses.replace(node.settings, region=region)
+    for node in mesh.nodes.values():
+        mesh.at(mesh.random.uniform(0.0, 0.3), node.start)
+    mesh.run(10)
+    return mesh
+
+
+def make_catalog(version: int, *, more: int = 0) -> catalog_lib.Catalog:
+    """Return a configuration of many routes, some of them in the middle."""
+    numbers = [*range(ROUTES // 2), *range(9000, 9000 + more)]
+    numbers += range(ROUTES // 2, ROUTES)
+    routes = [test_host_route.make_route(f"/route-{n}/") for n in numbers]
+    return test_host_route.make_catalog(version, *routes)
+
+
+def late(mesh: NarrowMesh, version: int) -> list[str]:
+    """Return the nodes that have not got a version."""
+    return [
+        node.name
+        for node in mesh.nodes.values()
+        if node.state.config.version < version
+    ]
+
+
+class TestLateVersions:
+    """Replays the calm day of a grown fleet: 68 nodes, 1,120 routes."""
+
+    def test_change_of_one_route_is_in_force_everywhere_in_time(self):
+        """The configuration's size must not decide how late a change is."""
+        mesh = make_mesh(17)
+        mesh.submit("n1-0", make_catalog(1))
+        mesh.run(20)
+        assert late(mesh, 1) == []
+        before_bytes = mesh.crossed_bytes
+        mesh.submit("n1-0", make_catalog(2, more=1))
+        mesh.run(IN_FORCE_S)
+        assert late(mesh, 2) == []
+        # Probes and acknowledgements included, less than one whole copy.
+        assert mesh.crossed_bytes - before_bytes < 88_000
+
+    def test_storm_of_changes_is_in_force_everywhere_in_time(self):
+        mesh = make_mesh(17)
+        mesh.submit("n1-0", make_catalog(1))
+        mesh.run(20)
+        for version in range(2, 12):
+            mesh.submit("n1-0", make_catalog(version, more=version))
+            mesh.run(0.25)
+        mesh.run(IN_FORCE_S)
+        assert late(mesh, 11) == []
