--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -159,7 +159,7 @@
     """Queue a record for the next datagrams."""
     membership = state.membership
     own = state.settings.data_centre
-    places = membership.table.present_by_place
+    places = membership.table.present_by_data_centre
     size = max(places.get(own, 0) - 1, 1)
     count = TRANSMISSIONS_PER_DOUBLING * size.bit_length()
     if update.data_centre == own:
@@ -175,7 +175,7 @@
     draws = entropy_lib.Entropy(bits=event.entropy)
     near = state.membership.near_others
     targets = draws.sample(near, GOSSIP_FAN_OUT)
-    for place in _far_by_place(state).values():
+    for place in _far_by_data_centre(state).values():
         if draws.below(len(near) + 1) < COPIES_FAR:
             targets.append(draws.choice(place))
     result: list[effects.Effect] = []
@@ -187,7 +187,7 @@
     return result
 
 
-def _far_by_place(state: node.Node) -> dict[str, list[member_lib.Member]]:
+def _far_by_data_centre(state: node.Node) -> dict[str, list[member_lib.Member]]:
     places: dict[str, list[member_lib.Member]] = {}
     for member in state.membership.far_others:
         places.setdefault(member.data_centre, []).append(member)
--- a/src/monsoonpass/core/membership/member_table.py
+++ b/src/monsoonpass/core/membership/member_table.py
@@ -19,13 +19,13 @@
         by_service: Present members by service, then by instance.
         present_count: Number of members that are alive or suspected.
         suspect_count: Number of members that are suspected.
-        present_by_place: Number of present members by data centre.
+        present_by_data_centre: Number of present members by data centre.
     """
 
     def __init__(self) -> None:
         self.present_count = 0
         self.suspect_count = 0
-        self.present_by_place: dict[str, int] = {}
+        self.present_by_data_centre: dict[str, int] = {}
         self._members: dict[str, member_lib.Member] = {}
         self._gone_s: dict[str, float] = {}
         self._buckets = [0] * BUCKETS
@@ -91,10 +91,10 @@
         step = 1 if adds else -1
         self.present_count += step
         place = member.data_centre
-        count = self.present_by_place.get(place, 0) + step
-        self.present_by_place[place] = count
+        count = self.present_by_data_centre.get(place, 0) + step
+        self.present_by_data_centre[place] = count
         if not count:
-            del self.present_by_place[place]
+            del self.present_by_data_centre[place]
         if member.state is member_lib.MemberState.SUSPECT:
             self.suspect_count += step
         # Suspicion is local opinion, so it does not count as a difference.
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -303,7 +303,7 @@
     membership = state.membership
     membership.probe_turn += 1
     draws = entropy_lib.Entropy(bits=event.entropy)
-    has_far = len(membership.table.present_by_place) > 1
+    has_far = len(membership.table.present_by_data_centre) > 1
     if has_far and membership.probe_turn % (NEAR_PROBES + 1) == 0:
         return draws.choice(membership.far_present).address
     while True:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -88,16 +88,21 @@
 
 
 class TestTable:
-    def test_count_by_place_follows_the_records(self):
+    def test_count_by_data_centre_follows_the_records(self):
         """News is counted by it for each record, so it must be at hand."""
         mesh = test_tree.make_flat_regions(3)
         table = mesh.nodes["n1-0"].state.membership.table
-        assert table.present_by_place == {"n1": 3, "n2": 3, "s1": 3, "s2": 3}
+        assert table.present_by_data_centre == {
+            "n1": 3,
+            "n2": 3,
+            "s1": 3,
+            "s2": 3,
+        }
         for name in ("s2-0", "s2-1", "s2-2"):
             record = table.get(name)
             state = member_lib.MemberState.LEFT
             table.put(dataclasses.replace(record, state=state), mesh.now_s)
-        assert table.present_by_place == {"n1": 3, "n2": 3, "s1": 3}
+        assert table.present_by_data_centre == {"n1": 3, "n2": 3, "s1": 3}
 
 
 class TestOneTableOfManyPlaces:
