Offer nothing that waited once a node stops

Found by reading the change: an announcement that waited for the first synchronisation was offered by a node that had begun to stop meanwhile. test_node_that_stops_offers_nothing_that_waited fails before.

--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -113,7 +113,7 @@
 def _offer_waiting(state: node.Node) -> list[effects.Effect]:
     """Take the announcement that waited, unless its upstream leaves."""
     event, state.upstream.waiting = state.upstream.waiting, None
-    if event is None or not _is_newer(state, event):
+    if event is None or state.stopping or not _is_newer(state, event):
         return []
     return _take(state, event)
 
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -200,6 +200,18 @@
         mesh.run(own_upstream.JOIN_WAIT_S)
         assert node.state.admission.accepts
 
+    def test_node_that_stops_offers_nothing_that_waited(self):
+        """Guard: `state.stopping` in own_upstream._offer_waiting."""
+        mesh = self.make_left()
+        node = mesh.nodes["s2-1"]
+        node.crash()
+        mesh.split({"s2-1"})
+        node.start()
+        self.announce(node, sequence=1, born=2)
+        node.feed(events.StopRequested)
+        mesh.run(2 * own_upstream.JOIN_WAIT_S)
+        assert not node.state.admission.accepts
+
     def test_upstream_is_offered_though_nobody_answers(self):
         mesh = self.make_left()
         node = mesh.nodes["s2-1"]
