--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -22,15 +22,12 @@
 from monsoonpass.core.distribution import catch_up
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
-from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.membership import synchronisation
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.4
 INDIRECT_PROBES = 3
-JOIN_RETRY_S = 0.1  # Doubled with each try; seeds may be starting too.
-JOIN_RETRY_MAX_S = 2.0  # Seeds may be gone for good.
 SYNC_AFTER_MISMATCHES = 3
-PROBES_PER_RECONTACT = 20
 NEAR_PROBES = 2  # Probes in the own data centre for one in another.
 
 
@@ -67,20 +64,13 @@
     membership.table.put(membership.own, event.now_s)
     jitter = entropy_lib.Entropy(bits=event.entropy)
     return [
-        *_join(state, event),
+        *synchronisation.join(state, event),
         effects.SetTimer(
             timer=timers.Probe(), delay_s=jitter.uniform(0.2, PROBE_PERIOD_S)
         ),
     ]
 
 
-@step.expire.register
-def _(
-    timer: timers.Join, event: events.TimerFired, state: node.Node
-) -> list[effects.Effect]:
-    return _join(state, event)
-
-
 @step.expire.register
 def _(
     timer: timers.Probe, event: events.TimerFired, state: node.Node
@@ -89,7 +79,7 @@
         effects.SetTimer(timer=timers.Probe(), delay_s=PROBE_PERIOD_S)
     ]
     state.membership.table.purge(event.now_s)
-    result += _contact_lost(state, event)
+    result += synchronisation.contact_lost(state, event)
     target = _next_target(state, event)
     if target is None:
         return result
@@ -168,7 +158,7 @@
     result.append(effects.SendDatagram(to=event.sender, message=ack))
     if state.membership.table.get(event.sender.instance) is None:
         # After a restart of this node, the sender knows more than the seeds.
-        result.append(_sync_request(state, event.sender))
+        result.append(synchronisation.request(state, event.sender))
     return result + _heard(state, event, message.version, message.table_digest)
 
 
@@ -200,102 +190,6 @@
     return _probe(state, event, pending)
 
 
-@step.receive.register
-def _(
-    message: member_lib.SyncRequest, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
-    table = state.membership.table
-    differing = tuple(
-        number
-        for number, (ours, theirs) in enumerate(
-            zip(table.buckets, message.buckets, strict=False)
-        )
-        if ours != theirs
-    )
-    result = gossip.merge(state, event, [message.sender])
-    reply = member_lib.SyncReply(
-        buckets=differing,
-        members=tuple(table.in_buckets(differing)),
-        wants_reply=True,
-        left=tuple(state.membership.left.get(event.sender.instance, ())),
-    )
-    return [*result, effects.Send(to=event.sender, message=reply)]
-
-
-@step.receive.register
-def _(
-    message: member_lib.SyncReply, event: events.PeerMessage, state: node.Node
-) -> list[effects.Effect]:
-    membership = state.membership
-    seeds = [seed.address.instance for seed in state.settings.local_seeds]
-    # A newcomer's answer says nothing of the others: two groups of nodes that
-    # start together might each take themselves for the whole.
-    membership.joined |= message.wants_reply and event.sender.instance in seeds
-    membership.mismatches = 0
-    mine = membership.table.in_buckets(message.buckets)
-    result = own_upstream.remind(state, event, message.left)
-    result += gossip.merge(state, event, message.members)
-    if not message.wants_reply or not message.buckets:
-        return result
-    reply = member_lib.SyncReply(
-        buckets=message.buckets, members=tuple(mine), wants_reply=False
-    )
-    return [*result, effects.Send(to=event.sender, message=reply)]
-
-
-def _join(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Synchronise the table with a seed until one has answered."""
-    membership = state.membership
-    if membership.joined or state.stopping:
-        return []
-    seeds = [seed.address for seed in state.settings.local_seeds]
-    if not seeds:
-        return []
-    membership.join_attempts += 1
-    usual_s = min(
-        JOIN_RETRY_S * 2 ** min(membership.join_attempts, 8), JOIN_RETRY_MAX_S
-    )
-    draws = entropy_lib.Entropy(bits=event.entropy)
-    retry = effects.SetTimer(
-        timer=timers.Join(),
-        delay_s=draws.uniform(0.5 * usual_s, 1.5 * usual_s),
-    )
-    return [_sync_request(state, draws.choice(seeds)), retry]
-
-
-def meet_seeds(state: node.Node) -> list[effects.Effect]:
-    """Synchronise the table with every seed that is not yet in it."""
-    table = state.membership.table
-    return [
-        _sync_request(state, seed.address)
-        for seed in state.settings.local_seeds
-        if table.get(seed.address.instance) is None
-    ]
-
-
-def _contact_lost(
-    state: node.Node, event: events.Event
-) -> list[effects.Effect]:
-    """Sometimes try a seed that is not present, to mend a split table."""
-    draws = entropy_lib.Entropy(bits=event.entropy ^ 0x5EED)
-    if draws.below(PROBES_PER_RECONTACT):
-        return []
-    table = state.membership.table
-    lost = []
-    for seed in state.settings.local_seeds:
-        member = table.get(seed.address.instance)
-        if member is None or not member.is_present:
-            lost.append(seed.address)
-    return [_sync_request(state, draws.choice(lost))] if lost else []
-
-
-def _sync_request(state: node.Node, to: address_lib.Address) -> effects.Send:
-    request = member_lib.SyncRequest(
-        sender=state.membership.own, buckets=state.membership.table.buckets
-    )
-    return effects.Send(to=to, message=request)
-
-
 def _next_target(
     state: node.Node, event: events.Event
 ) -> address_lib.Address | None:
@@ -394,4 +288,4 @@
     if membership.mismatches < SYNC_AFTER_MISMATCHES or membership.updates:
         return result
     membership.mismatches = 0
-    return [*result, _sync_request(state, event.sender)]
+    return [*result, synchronisation.request(state, event.sender)]
--- /dev/null
+++ b/src/monsoonpass/core/membership/synchronisation.py
@@ -0,0 +1,123 @@
+"""Synchronisation of member tables: at the join, with seeds, and by digest.
+
+A node that starts asks a seed for its table until one has answered. Later,
+tables that differ for longer than news takes are compared by bucket, and a
+seed that is missing is asked now and then, so that a split table mends.
+"""
+
+from monsoonpass.core import address as address_lib
+from monsoonpass.core import effects
+from monsoonpass.core import entropy as entropy_lib
+from monsoonpass.core import events
+from monsoonpass.core import node
+from monsoonpass.core import step
+from monsoonpass.core import timers
+from monsoonpass.core.membership import gossip
+from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import own_upstream
+
+JOIN_RETRY_S = 0.1  # Doubled with each try; seeds may be starting too.
+JOIN_RETRY_MAX_S = 2.0  # Seeds may be gone for good.
+PROBES_PER_RECONTACT = 20
+
+
+@step.expire.register
+def _(
+    timer: timers.Join, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    return join(state, event)
+
+
+@step.receive.register
+def _(
+    message: member_lib.SyncRequest, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    table = state.membership.table
+    differing = tuple(
+        number
+        for number, (ours, theirs) in enumerate(
+            zip(table.buckets, message.buckets, strict=False)
+        )
+        if ours != theirs
+    )
+    result = gossip.merge(state, event, [message.sender])
+    reply = member_lib.SyncReply(
+        buckets=differing,
+        members=tuple(table.in_buckets(differing)),
+        wants_reply=True,
+        left=tuple(state.membership.left.get(event.sender.instance, ())),
+    )
+    return [*result, effects.Send(to=event.sender, message=reply)]
+
+
+@step.receive.register
+def _(
+    message: member_lib.SyncReply, event: events.PeerMessage, state: node.Node
+) -> list[effects.Effect]:
+    membership = state.membership
+    seeds = [seed.address.instance for seed in state.settings.local_seeds]
+    # A newcomer's answer says nothing of the others: two groups of nodes that
+    # start together might each take themselves for the whole.
+    membership.joined |= message.wants_reply and event.sender.instance in seeds
+    membership.mismatches = 0
+    mine = membership.table.in_buckets(message.buckets)
+    result = own_upstream.remind(state, event, message.left)
+    result += gossip.merge(state, event, message.members)
+    if not message.wants_reply or not message.buckets:
+        return result
+    reply = member_lib.SyncReply(
+        buckets=message.buckets, members=tuple(mine), wants_reply=False
+    )
+    return [*result, effects.Send(to=event.sender, message=reply)]
+
+
+def join(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Synchronise the table with a seed until one has answered."""
+    membership = state.membership
+    if membership.joined or state.stopping:
+        return []
+    seeds = [seed.address for seed in state.settings.local_seeds]
+    if not seeds:
+        return []
+    membership.join_attempts += 1
+    usual_s = min(
+        JOIN_RETRY_S * 2 ** min(membership.join_attempts, 8), JOIN_RETRY_MAX_S
+    )
+    draws = entropy_lib.Entropy(bits=event.entropy)
+    retry = effects.SetTimer(
+        timer=timers.Join(),
+        delay_s=draws.uniform(0.5 * usual_s, 1.5 * usual_s),
+    )
+    return [request(state, draws.choice(seeds)), retry]
+
+
+def meet_seeds(state: node.Node) -> list[effects.Effect]:
+    """Synchronise the table with every seed that is not yet in it."""
+    table = state.membership.table
+    return [
+        request(state, seed.address)
+        for seed in state.settings.local_seeds
+        if table.get(seed.address.instance) is None
+    ]
+
+
+def contact_lost(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Sometimes try a seed that is not present, to mend a split table."""
+    draws = entropy_lib.Entropy(bits=event.entropy ^ 0x5EED)
+    if draws.below(PROBES_PER_RECONTACT):
+        return []
+    table = state.membership.table
+    lost = []
+    for seed in state.settings.local_seeds:
+        member = table.get(seed.address.instance)
+        if member is None or not member.is_present:
+            lost.append(seed.address)
+    return [request(state, draws.choice(lost))] if lost else []
+
+
+def request(state: node.Node, to: address_lib.Address) -> effects.Send:
+    """Ask a node for what its table has and the own one lacks."""
+    message = member_lib.SyncRequest(
+        sender=state.membership.own, buckets=state.membership.table.buckets
+    )
+    return effects.Send(to=to, message=message)
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -23,6 +23,7 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import membership
 from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.membership import synchronisation
 
 assert _calls  # Imported for its registrations.
 assert _survey  # Imported for its registrations.
@@ -56,7 +57,7 @@
     state.settings = dataclasses.replace(
         state.settings, seeds=event.seeds, service=event.service
     )
-    return membership.meet_seeds(state)
+    return synchronisation.meet_seeds(state)
 
 
 @step_lib.step.register
