Build fleets of several data centres in one place of the tests

Two test modules built the same two regions of two data centres, and three imported the builder from a test module; it stands in fake_places now. Two tests of a node that restarts alone begin alike and share their scene.

--- a/tests/fake_places.py
+++ b/tests/fake_places.py
@@ -1,8 +1,13 @@
 """Meshes of a few fake nodes in one or two places."""
 
+from collections.abc import Iterator
+import dataclasses
+
 from monsoonpass.core import effects
 from tests import fake_mesh
 
+REGIONS = {"n1": "north", "n2": "north", "s1": "south", "s2": "south"}
+
 
 def make_two_places(
     *, seed_number: int = 1, plain: int = 4, faults=None
@@ -27,6 +32,50 @@
     return mesh
 
 
+def add_flat_regions(
+    mesh: fake_mesh.FakeMesh, per_place: int
+) -> Iterator[fake_mesh.FakeNode]:
+    """Add nodes with one table over two regions of two data centres each.
+
+    The first node of each data centre has a disk and no upstream.
+
+    Args:
+        mesh: Where to add them.
+        per_place: Nodes of each data centre.
+
+    Yields:
+        Each node right after it was added, not started.
+    """
+    voters = ("n1-0", "n2-0", "s1-0")
+    seeds = tuple(fake_mesh.seed(name, name[:2]) for name in voters)
+    for place, region in REGIONS.items():
+        for number in range(per_place):
+            node = mesh.add(
+                f"{place}-{number}",
+                data_centre=place,
+                disk=number == 0,
+                seeds=seeds,
+                voters=voters,
+                flat=True,
+            )
+            node.settings = dataclasses.replace(node.settings, region=region)
+            yield node
+
+
+def make_flat_regions(per_place: int, *, seed: int = 1) -> fake_mesh.FakeMesh:
+    """Return such nodes, running.
+
+    Args:
+        per_place: Nodes of each data centre.
+        seed: Seed of the mesh.
+    """
+    mesh = fake_mesh.FakeMesh(seed=seed)
+    for node in add_flat_regions(mesh, per_place):
+        node.start()
+    mesh.run(8)
+    return mesh
+
+
 def make_serving_places(**options) -> fake_mesh.FakeMesh:
     """Return two places in which version 1, with service "x", is in force.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,6 @@
 from monsoonpass.core import events
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_places
-from tests import test_tree
 
 
 class TestMembership:
@@ -90,7 +89,7 @@
 class TestTable:
     def test_count_by_data_centre_follows_the_records(self):
         """News is counted by it for each record, so it must be at hand."""
-        mesh = test_tree.make_flat_regions(3)
+        mesh = fake_places.make_flat_regions(3)
         table = mesh.nodes["n1-0"].state.membership.table
         assert table.present_by_data_centre == {
             "n1": 3,
@@ -114,7 +113,7 @@
 
         Guard: `own in (data_centre, item[0].data_centre)` in gossip.
         """
-        mesh = test_tree.make_flat_regions(per_place)
+        mesh = fake_places.make_flat_regions(per_place)
         mesh.run(10)
         for node in mesh.nodes.values():
             node.performed.clear()
@@ -142,7 +141,7 @@
 
     def test_cut_between_regions_makes_nobody_suspected(self):
         """Guard: `_judges` in membership."""
-        mesh = test_tree.make_flat_regions(6)
+        mesh = fake_places.make_flat_regions(6)
         north = {name for name in mesh.nodes if name.startswith("n")}
         mesh.split(north)
         mesh.run(40)
@@ -156,7 +155,7 @@
 
         Guard: `probe_outcomes` in gossip.looks_partitioned, and `kept`.
         """
-        mesh = test_tree.make_flat_regions(per_place)
+        mesh = fake_places.make_flat_regions(per_place)
         mesh.run(5)
         mesh.split({"s2-1"})
         mesh.run(20)
@@ -174,7 +173,7 @@
             assert len(alive) == 4 * per_place
 
     def test_all_neighbours_but_one_may_die_at_once(self):
-        mesh = test_tree.make_flat_regions(4)
+        mesh = fake_places.make_flat_regions(4)
         mesh.run(5)
         for name in ("s2-1", "s2-2", "s2-3"):
             mesh.nodes[name].crash()
@@ -184,7 +183,7 @@
                 assert node.state.membership.table.present_count == 13
 
     def test_member_without_neighbours_is_judged_from_outside(self):
-        mesh = test_tree.make_flat_regions(1)
+        mesh = fake_places.make_flat_regions(1)
         mesh.nodes["s2-0"].crash()
         mesh.run(30)
         table = mesh.nodes["n1-0"].state.membership.table
--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -1,19 +1,18 @@
 """Tests of distribution over links that a large configuration fills."""
 
 import collections
-import dataclasses
 
 from monsoonpass import codec
 from monsoonpass.core import effects
 from monsoonpass.core.distribution import catalog as catalog_lib
 from tests import fake_mesh
+from tests import fake_places
 from tests import test_host_route
 
 LINK_BYTES_PER_S = 3.5e6 / 8
 HEADER_BYTES = 60  # Of the network, and of the frame or datagram.
 IN_FORCE_S = 2.5  # The users' bound for a version on every node in touch.
 ROUTES = 1120
-PLACES = (("n1", "north"), ("n2", "north"), ("s1", "south"), ("s2", "south"))
 
 
 class NarrowMesh(fake_mesh.FakeMesh):
@@ -61,20 +60,8 @@
 def make_mesh(per_place: int) -> NarrowMesh:
     """Return a running fleet with one table over two regions."""
     mesh = NarrowMesh(seed=1)
-    voters = ("n1-0", "n2-0", "s1-0")
-    seeds = tuple(fake_mesh.seed(name, name[:2]) for name in voters)
-    for place, region in PLACES:
-        for number in range(per_place):
-            node = mesh.add(
-                f"{place}-{number}",
-                data_centre=place,
-                disk=number == 0,
-                seeds=seeds,
-                voters=voters,
-                flat=True,
-            )
-            node.settings = dataclasses.replace(node.settings, region=region)
-    for node in mesh.nodes.values():
+    nodes = list(fake_places.add_flat_regions(mesh, per_place))
+    for node in nodes:
         mesh.at(mesh.random.uniform(0.0, 0.3), node.start)
     mesh.run(10)
     return mesh
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -8,7 +8,7 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import own_upstream
 from tests import fake_mesh
-from tests import test_tree
+from tests import fake_places
 
 UpstreamState = member_lib.UpstreamState
 
@@ -159,7 +159,7 @@
 
     def make_left(self) -> fake_mesh.FakeMesh:
         """Return nodes of which one restarts after its upstream left."""
-        mesh = test_tree.make_flat_regions(3)
+        mesh = fake_places.make_flat_regions(3)
         node = mesh.nodes["s2-1"]
         self.announce(node, sequence=3)
         mesh.run(2)
@@ -170,6 +170,16 @@
         node.start()
         return mesh
 
+    def make_cut_off(self) -> tuple[fake_mesh.FakeMesh, fake_mesh.FakeNode]:
+        """Return nodes and one that restarts alone, and was announced to."""
+        mesh = self.make_left()
+        node = mesh.nodes["s2-1"]
+        node.crash()
+        mesh.split({"s2-1"})
+        node.start()
+        self.announce(node, sequence=1, born=2)
+        return mesh, node
+
     def announce(self, node, *, sequence, born=1):
         node.feed(
             events.UpstreamAnnounced,
@@ -202,23 +212,13 @@
 
     def test_node_that_stops_offers_nothing_that_waited(self):
         """Guard: `state.stopping` in own_upstream._offer_waiting."""
-        mesh = self.make_left()
-        node = mesh.nodes["s2-1"]
-        node.crash()
-        mesh.split({"s2-1"})
-        node.start()
-        self.announce(node, sequence=1, born=2)
+        mesh, node = self.make_cut_off()
         node.feed(events.StopRequested)
         mesh.run(2 * own_upstream.JOIN_WAIT_S)
         assert not node.state.admission.accepts
 
     def test_upstream_is_offered_though_nobody_answers(self):
-        mesh = self.make_left()
-        node = mesh.nodes["s2-1"]
-        node.crash()
-        mesh.split({"s2-1"})
-        node.start()
-        self.announce(node, sequence=1, born=2)
+        mesh, node = self.make_cut_off()
         assert not node.state.admission.accepts
         mesh.run(own_upstream.JOIN_WAIT_S)
         assert node.state.admission.accepts
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -9,37 +9,7 @@
 from monsoonpass.core.distribution import distribution
 from monsoonpass.core.distribution import tree
 from tests import fake_mesh
-
-REGIONS = {"north": ("n1", "n2"), "south": ("s1", "s2")}
-
-
-def make_flat_regions(per_place: int, *, seed: int = 1) -> fake_mesh.FakeMesh:
-    """Return one table over two regions of two data centres each.
-
-    The first node of each data centre has a disk and no upstream.
-    """
-    mesh = fake_mesh.FakeMesh(seed=seed)
-    places = [
-        (region, data_centre)
-        for region, group in REGIONS.items()
-        for data_centre in group
-    ]
-    voters = tuple(f"{place}-0" for _, place in places[:3])
-    seeds = tuple(fake_mesh.seed(name, name[:2]) for name in voters)
-    for region, place in places:
-        for number in range(per_place):
-            node = mesh.add(
-                f"{place}-{number}",
-                data_centre=place,
-                disk=number == 0,
-                seeds=seeds,
-                voters=voters,
-                flat=True,
-            )
-            node.settings = dataclasses.replace(node.settings, region=region)
-            node.start()
-    mesh.run(8)
-    return mesh
+from tests import fake_places
 
 
 def pushes(mesh: fake_mesh.FakeMesh) -> list[tuple[str, str]]:
@@ -56,7 +26,7 @@
 class TestCopies:
     def test_each_link_between_places_carries_one_copy(self):
         """Else a change costs the paid link a copy for each member."""
-        mesh = make_flat_regions(12)
+        mesh = fake_places.make_flat_regions(12)
         for node in mesh.nodes.values():
             node.performed.clear()
         mesh.submit("n1-0", fake_mesh.make_catalog(1, "x"))
@@ -70,7 +40,7 @@
         assert versions == {1}
 
     def test_members_without_an_upstream_head_their_places(self):
-        mesh = make_flat_regions(6)
+        mesh = fake_places.make_flat_regions(6)
         state = mesh.nodes["n1-0"].state
         for member in state.membership.table.present():
             if not member.instance.endswith("-0"):
@@ -92,7 +62,7 @@
         Guard: `_send_branches` in the handler of BranchRetry.
         """
         monkeypatch.setattr(distribution, "HINT_FAN_OUT", 0)
-        mesh = make_flat_regions(12)
+        mesh = fake_places.make_flat_regions(12)
         mesh.submit("n1-0", fake_mesh.make_catalog(1, "x"))
         mesh.run(2)
         mesh.nodes[frozen].suspended = True
@@ -111,7 +81,7 @@
 
     def test_push_that_comes_twice_is_passed_on_once(self):
         """Guard: `_not_yet_served` in tree."""
-        mesh = make_flat_regions(4)
+        mesh = fake_places.make_flat_regions(4)
         state = mesh.nodes["n1-1"].state
         group = config_messages.Group(
             region="north",
