Log each notice of leaving and the start of each announcement

A notice that changed no state left no line, and the lines of announcements had no start, so a notice to a process that knows no upstream looked like one that met a waiting announcement.

New: events 505 (the notice: name, start as told, what was known, what waits) and 506 (an announcement waits); the start in 500, 501 and 504; whether a notice under the name is on record in 500. No change of behaviour; the two tests of TestLines fail without the lines.

--- a/src/monsoonpass/core/logbook.py
+++ b/src/monsoonpass/core/logbook.py
@@ -78,6 +78,12 @@
         "info",
         "An announcement is older than what is known, or not usable.",
     )
+    UPSTREAM_NOTICE = (505, "info", "A notice of leaving was taken.")
+    ANNOUNCEMENT_WAITS = (
+        506,
+        "info",
+        "An announcement waits for what members remember of its upstream.",
+    )
     CALL_FAILED = (510, "warning", "A call got a failure as its answer.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -43,11 +43,12 @@
         if state.upstream.waiting is None:
             timer = timers.OfferDue()
             result.append(effects.SetTimer(timer=timer, delay_s=JOIN_WAIT_S))
+            result.append(_log(logbook.Code.ANNOUNCEMENT_WAITS, event))
         state.upstream.waiting = event
     elif taken:
         result += _take(state, event)
     else:
-        result.append(_ignored(event))
+        result.append(_log(logbook.Code.ANNOUNCEMENT_IGNORED, event))
     if event.request_id:
         reply = effects.Reply(
             request_id=event.request_id, result=Announced(taken=taken)
@@ -63,9 +64,10 @@
     born_ms = event.born_ms or (known.born_ms if is_known else 0)
     if event.upstream_id:
         known.left.append(_start_name(event.upstream_id, born_ms))
+    result: list[effects.Effect] = [_log_notice(state, event)]
     if not is_known or born_ms < known.born_ms:
-        return []
-    return drain(state, event)
+        return result
+    return result + drain(state, event)
 
 
 def _must_wait(state: node.Node, event: events.UpstreamAnnounced) -> bool:
@@ -190,17 +192,18 @@
     told = (own.service, own.slots, own.upstream)
     if told == (event.service, event.slots, member_lib.UpstreamState.READY):
         return result
-    log = effects.Log(
-        code=logbook.Code.UPSTREAM_ANNOUNCED,
-        fields={
-            "service": event.service,
-            "slots": event.slots,
-            "upstream": event.upstream_id,
-        },
+    has_notice = any(
+        _name_of(start) == event.upstream_id for start in known.left
     )
     return [
         *result,
-        log,
+        _log(
+            logbook.Code.UPSTREAM_ANNOUNCED,
+            event,
+            service=event.service,
+            slots=event.slots,
+            has_notice=has_notice,
+        ),
         *gossip.change_own(
             state,
             event,
@@ -217,10 +220,38 @@
     return f"{upstream_id}/{born_ms}"
 
 
-def _ignored(event: events.UpstreamAnnounced) -> effects.Log:
+def _name_of(start: str) -> str:
+    return start.rpartition("/")[0]
+
+
+def _log(
+    code: logbook.Code, event: events.UpstreamAnnounced, **fields: object
+) -> effects.Log:
+    """Return a line on an announcement, with which start it is of."""
+    start = {
+        "upstream": event.upstream_id,
+        "born": event.born_ms,
+        "sequence": event.sequence,
+    }
+    return effects.Log(code=code, fields={**start, **fields})
+
+
+def _log_notice(
+    state: node.Node, event: events.UpstreamDraining
+) -> effects.Log:
+    """Return a line on a notice, with what was known when it came."""
+    known = state.upstream
+    waiting = known.waiting.upstream_id if known.waiting else None
     return effects.Log(
-        code=logbook.Code.ANNOUNCEMENT_IGNORED,
-        fields={"upstream": event.upstream_id, "sequence": event.sequence},
+        code=logbook.Code.UPSTREAM_NOTICE,
+        fields={
+            "upstream": event.upstream_id,
+            "born": event.born_ms,
+            "known": known.upstream_id,
+            "known_born": known.born_ms,
+            "known_state": state.admission.upstream.name.lower(),
+            "waiting": waiting,
+        },
     )
 
 
@@ -240,7 +271,10 @@
         leaving = _start_name(known.upstream_id, known.born_ms)
     refused = state.admission.refuse_all(Reason.DRAINING)
     return [
-        effects.Log(code=logbook.Code.UPSTREAM_DRAINING),
+        effects.Log(
+            code=logbook.Code.UPSTREAM_DRAINING,
+            fields={"upstream": known.upstream_id, "born": known.born_ms},
+        ),
         *gossip.change_own(
             state,
             event,
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -4,6 +4,7 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
+from monsoonpass.core import logbook
 from monsoonpass.core import reducer
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import own_upstream
@@ -67,6 +68,36 @@
             if isinstance(effect, effects.UseUpstream)
         ]
 
+    def lines(self, code) -> list[dict[str, object]]:
+        """Return the fields of the lines of one event, in order."""
+        return [
+            effect.fields
+            for effect in self.node.performed
+            if isinstance(effect, effects.Log) and effect.code is code
+        ]
+
+
+class TestLines:
+    """What an operator reads of a notice and of announcements."""
+
+    def test_notice_to_a_process_that_knows_no_upstream_leaves_a_line(self):
+        scene = Scene()
+        scene.node.feed(events.UpstreamDraining, upstream_id="i-1")
+        (line,) = scene.lines(logbook.Code.UPSTREAM_NOTICE)
+        assert line["upstream"] == "i-1"
+        assert line["known"] == ""
+        assert line["known_state"] == "none"
+
+    def test_announcement_line_names_the_start_and_a_notice_on_record(self):
+        scene = Scene()
+        scene.announce("i-1", born=10, sequence=4)
+        scene.node.feed(events.UpstreamDraining, upstream_id="i-1", born_ms=10)
+        scene.announce("i-1", born=20, sequence=1)
+        first, second = scene.lines(logbook.Code.UPSTREAM_ANNOUNCED)
+        assert (first["born"], first["sequence"]) == (10, 4)
+        assert not first["has_notice"]
+        assert (second["born"], second["has_notice"]) == (20, True)
+
 
 class TestIdentity:
     def test_late_announcement_of_an_earlier_start_changes_nothing(self):
