--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -77,6 +77,20 @@
         ]
 
 
+def announce(node, *, born=1, sequence=1) -> None:
+    """Announce an upstream to a node of a mesh."""
+    node.feed(
+        events.UpstreamAnnounced,
+        service="shop",
+        slots=4,
+        cold=False,
+        port=9000,
+        upstream_id="i-1",
+        born_ms=born,
+        sequence=sequence,
+    )
+
+
 class TestLines:
     """What an operator reads of a notice and of announcements."""
 
@@ -185,6 +199,60 @@
         assert not scene.state.admission.accepts
 
 
+class TestNoticeWithoutStart:
+    """A notice often names its upstream alone, not the start it is of."""
+
+    BORN_MS = 990_000  # Ten seconds before the scene begins.
+
+    def notice(self, node) -> None:
+        node.feed(events.UpstreamDraining, upstream_id="i-1")
+
+    def test_notice_before_any_announcement_binds_a_late_one(self):
+        """The process is new; the announcement was under way for seconds."""
+        scene = Scene()
+        self.notice(scene.node)
+        scene.mesh.run(2.2)
+        assert not scene.announce(born=self.BORN_MS, sequence=40)
+        assert not scene.state.admission.accepts
+
+    def test_notice_binds_an_announcement_that_waits_for_the_members(self):
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        node.crash()
+        mesh.split({"s2-1"})
+        node.start()
+        announce(node, born=self.BORN_MS)
+        mesh.run(0.1)
+        self.notice(node)
+        for _ in range(40):
+            mesh.run(0.1)
+            assert not node.state.admission.accepts
+
+    @pytest.mark.parametrize("after_s", [0.0, 0.2, 2.0])
+    def test_members_remember_it_for_the_next_process(self, after_s):
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        self.notice(node)
+        mesh.run(0.5)
+        node.crash()
+        mesh.run(0.2)
+        node.start()
+        mesh.run(after_s)
+        announce(node, born=self.BORN_MS)
+        for _ in range(40):
+            mesh.run(0.1)
+            assert not node.state.admission.accepts
+
+    def test_next_start_under_the_name_is_offered(self):
+        scene = Scene()
+        self.notice(scene.node)
+        scene.mesh.run(3.0)
+        born_ms = int(scene.mesh.now_s * 1000)
+        scene.mesh.run(0.1)
+        assert scene.announce(born=born_ms, sequence=1)
+        assert scene.state.admission.accepts
+
+
 class TestRestartOfTheNode:
     """The upstream runs on while the process beside it is new."""
 
@@ -192,7 +260,7 @@
         """Return nodes of which one restarts after its upstream left."""
         mesh = fake_places.make_flat_regions(3)
         node = mesh.nodes["s2-1"]
-        self.announce(node, sequence=3)
+        announce(node, sequence=3)
         mesh.run(2)
         node.feed(events.UpstreamDraining, upstream_id="i-1", born_ms=1)
         mesh.run(0.3)
@@ -208,28 +276,16 @@
         node.crash()
         mesh.split({"s2-1"})
         node.start()
-        self.announce(node, sequence=1, born=2)
+        announce(node, sequence=1, born=2)
         return mesh, node
 
-    def announce(self, node, *, sequence, born=1):
-        node.feed(
-            events.UpstreamAnnounced,
-            service="shop",
-            slots=4,
-            cold=False,
-            port=9000,
-            upstream_id="i-1",
-            born_ms=born,
-            sequence=sequence,
-        )
-
     @pytest.mark.parametrize("after_s", [0.0, 0.2, 2.0])
     def test_late_heartbeat_of_one_that_left_offers_it_not_again(self, after_s):
         """Guard: `left` in SyncReply, and `_must_wait` in own_upstream."""
         mesh = self.make_left()
         node = mesh.nodes["s2-1"]
         mesh.run(after_s)
-        self.announce(node, sequence=4)
+        announce(node, sequence=4)
         for _ in range(40):
             mesh.run(0.1)
             assert not node.state.admission.accepts
@@ -237,7 +293,7 @@
     def test_next_start_under_the_same_name_is_offered(self):
         mesh = self.make_left()
         node = mesh.nodes["s2-1"]
-        self.announce(node, sequence=1, born=2)
+        announce(node, sequence=1, born=2)
         mesh.run(own_upstream.JOIN_WAIT_S)
         assert node.state.admission.accepts
 
