Tell members of a leaving upstream only if it said so

What callers saw: after a planned restart of a node without [limits] stop_after_s, its upstream got no calls until it was itself started again. Cause: the stop drained the upstream as a notice of leaving does, and so told the members that it leaves; they told the next process, which never offered it. Evidence: test_planned_stop_of_the_node_is_no_notice_of_its_upstream fails on the code before. Now only a notice names who leaves.

--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -67,7 +67,7 @@
     result: list[effects.Effect] = [_log_notice(state, event)]
     if not is_known or born_ms < known.born_ms:
         return result
-    return result + drain(state, event)
+    return result + _leave(state, event)
 
 
 def _must_wait(state: node.Node, event: events.UpstreamAnnounced) -> bool:
@@ -99,7 +99,7 @@
     known.left.extend(name for name in names if name not in known.left)
     result: list[effects.Effect] = []
     if _start_name(known.upstream_id, known.born_ms) in names:
-        result += drain(state, event)
+        result += _leave(state, event)
     if state.membership.joined:
         result += _offer_waiting(state)
     return result
@@ -179,7 +179,7 @@
         state.admission.service = event.service
         if event.upstream_id:
             known.left.append(_start_name(event.upstream_id, event.born_ms))
-        return result + drain(state, event)
+        return result + _leave(state, event)
     state.admission.announce(
         service=event.service,
         slots=event.slots,
@@ -255,20 +255,37 @@
     )
 
 
-def drain(state: node.Node, event: events.Event) -> list[effects.Effect]:
+def _leave(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """Drain the known upstream, which announced that it leaves."""
+    known = state.upstream
+    leaving = ""
+    if known.upstream_id:
+        leaving = _start_name(known.upstream_id, known.born_ms)
+    return drain(state, event, leaving=leaving)
+
+
+def drain(
+    state: node.Node, event: events.Event, *, leaving: str = ""
+) -> list[effects.Effect]:
     """Stop giving the own upstream new work and tell the others.
 
     One that is withdrawn for a while leaves too, and must not be offered again
     when that time is over.
+
+    Args:
+        state: The node.
+        event: The cause.
+        leaving: Name and start of the upstream if it announced that it
+            leaves; empty if only its node stops.
+
+    Returns:
+        Effects.
     """
     is_draining = state.admission.upstream is member_lib.UpstreamState.DRAINING
     if is_draining or not state.admission.service:
         return []
     state.admission.upstream = member_lib.UpstreamState.DRAINING
     known = state.upstream
-    leaving = ""
-    if known.upstream_id:
-        leaving = _start_name(known.upstream_id, known.born_ms)
     refused = state.admission.refuse_all(Reason.DRAINING)
     return [
         effects.Log(
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -290,6 +290,19 @@
             mesh.run(0.1)
             assert not node.state.admission.accepts
 
+    def test_planned_stop_of_the_node_is_no_notice_of_its_upstream(self):
+        """Guard: the notice passed to own_upstream.drain, not the stop."""
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        announce(node, sequence=1)
+        node.feed(events.StopRequested)
+        mesh.run(0.5)
+        node.crash()
+        node.start()
+        announce(node, sequence=2)
+        mesh.run(own_upstream.JOIN_WAIT_S)
+        assert node.state.admission.accepts
+
     def test_next_start_under_the_same_name_is_offered(self):
         mesh = self.make_left()
         node = mesh.nodes["s2-1"]
