Bind whichever start a notice of leaving means

Cause: the notice comes without a start. A process that knew no upstream yet kept it under a start of 0 and told nobody; an announcement that says ready, under way for two seconds, came with the true start, matched nothing, and the upstream was offered. The class: an identity with a part missing, compared as if it were whole. Change: a missing part is None, never 0. Notices are records of their own with one rule for what they bind (design 0004), told to the members whatever is known of the upstream, and passed on by the next process.

Taken out one by one: the start-less bound, the telling, the passing on, the check of what waits; a test fails each time.

--- a/src/monsoonpass/border/hello.py
+++ b/src/monsoonpass/border/hello.py
@@ -8,7 +8,7 @@
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 NONCE_BYTES = 16
 DATAGRAM_PROOF_BYTES = 16
 DATAGRAM_MAX_BYTES = 8192
--- a/src/monsoonpass/border/operator_models.py
+++ b/src/monsoonpass/border/operator_models.py
@@ -37,7 +37,7 @@
         state: Whether it takes calls or leaves.
         cold_s: How much longer it is slow after its start.
         sequence: Grows with each heartbeat of one start.
-        born: When it started, in milliseconds of Unix time.
+        born: When it started, in milliseconds of Unix time, or None.
     """
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
@@ -48,7 +48,7 @@
     state: Literal["ready", "draining"]
     cold_s: Annotated[float, pydantic.Field(ge=0, strict=False)] = 0.0
     sequence: Annotated[int, pydantic.Field(ge=0)]
-    born: Annotated[int, pydantic.Field(ge=0)] = 0
+    born: Annotated[int, pydantic.Field(ge=1)] | None = None
 
 
 class Farewell(pydantic.BaseModel):
@@ -56,7 +56,7 @@
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    born: Annotated[int, pydantic.Field(ge=0)] = 0
+    born: Annotated[int, pydantic.Field(ge=1)] | None = None
 
 
 class SubmitResult(_Model):
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -111,8 +111,8 @@
         cold_s: How much longer it will be slow; 0 for the usual time.
         draining: Whether it announced that it leaves.
         upstream_id: Its own name, new with most starts, or empty.
-        born_ms: When it started, by the wall clock; 0 if not told.
-        sequence: Grows with each announcement of one start.
+        born_ms: When it started, by the wall clock; None if not told.
+        sequence: Grows with each announcement of one start; None if not told.
         request_id: Request to answer, or 0.
     """
 
@@ -123,8 +123,8 @@
     cold_s: float = 0.0
     draining: bool = False
     upstream_id: str = ""
-    born_ms: int = 0
-    sequence: int = 0
+    born_ms: int | None = None
+    sequence: int | None = None
     request_id: int = 0
 
 
@@ -134,11 +134,11 @@
 
     Attributes:
         upstream_id: Its own name, or empty for whichever is there.
-        born_ms: When it started; 0 if not told.
+        born_ms: When it started; None if not told.
     """
 
     upstream_id: str = ""
-    born_ms: int = 0
+    born_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -7,7 +7,6 @@
 their records are kept.
 """
 
-import collections
 import dataclasses
 
 from monsoonpass.core import bounded
@@ -19,6 +18,7 @@
 from monsoonpass.core import step
 from monsoonpass.core import timers
 from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import notice as notice_lib
 
 GOSSIP_DELAY_S = 0.05
 GOSSIP_FAN_OUT = 3
@@ -31,7 +31,6 @@
 PARTITION_SHARE = 0.3
 PARTITION_MIN = 3
 LEFT_MAX = 4096  # Instances; more than a data centre has.
-LEFT_NAMES_MAX = 4  # Upstreams of one instance that leave within a minute.
 PARTITION_PROBES = 3  # As many as end while a suspicion lasts.
 
 
@@ -106,16 +105,13 @@
 
 def _remember_leaving(state: node.Node, update: member_lib.Member) -> None:
     """Keep which upstream leaves, for a new process of its node."""
-    if not update.leaving:
+    if update.leaving is None:
         return
     left = state.membership.left
     if update.instance not in left:
         bounded.make_room(left, LEFT_MAX)
-    names = left.setdefault(
-        update.instance, collections.deque(maxlen=LEFT_NAMES_MAX)
-    )
-    if update.leaving not in names:
-        names.append(update.leaving)
+    notices = left.setdefault(update.instance, notice_lib.Notices())
+    notices.add([update.leaving])
 
 
 def _log_change(
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -5,6 +5,7 @@
 
 from monsoonpass import codec
 from monsoonpass.core import address as address_lib
+from monsoonpass.core.membership import notice as notice_lib
 
 
 class MemberState(enum.IntEnum):
@@ -45,8 +46,8 @@
         slots: Calls that the upstream runs at once.
         upstream: What the upstream announced.
         region: Region of its data centre.
-        leaving: Name and start of the upstream that announced that it leaves;
-            empty if none has.
+        leaving: The last notice of leaving of an upstream of the node, or
+            None.
     """
 
     address: address_lib.Address
@@ -58,7 +59,7 @@
     slots: int
     upstream: UpstreamState
     region: str = ""
-    leaving: str = ""
+    leaving: notice_lib.Notice | None = None
 
     @property
     def instance(self) -> str:
@@ -148,11 +149,11 @@
         members: All records that the sender holds in them.
         wants_reply: Whether the receiver should send its records of the same
             buckets back.
-        left: Upstreams of the receiver that announced that they leave, as far
-            as the sender remembers. Its process may be new and not know.
+        left: Notices of leaving of the receiver's upstreams, as far as the
+            sender remembers. Its process may be new and not know.
     """
 
     buckets: tuple[int, ...]
     members: tuple[Member, ...]
     wants_reply: bool
-    left: tuple[str, ...] = ()
+    left: tuple[notice_lib.Notice, ...] = ()
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -17,6 +17,7 @@
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.membership import notice as notice_lib
 
 UNREACHABLE_MAX = 3
 JOIN_WAIT_S = 1.0  # Several tries to join; a seed may be starting too.
@@ -59,15 +60,61 @@
 
 @step.step.register
 def _(event: events.UpstreamDraining, state: node.Node) -> list[effects.Effect]:
+    log = _log_notice(state, event)
+    if not event.upstream_id:
+        return [log, *drain(state, event)]
+    notice = _notice(state, event)
     known = state.upstream
-    is_known = event.upstream_id in ("", known.upstream_id)
-    born_ms = event.born_ms or (known.born_ms if is_known else 0)
-    if event.upstream_id:
-        known.left.append(_start_name(event.upstream_id, born_ms))
-    result: list[effects.Effect] = [_log_notice(state, event)]
-    if not is_known or born_ms < known.born_ms:
-        return result
-    return result + _leave(state, event)
+    if event.born_ms is None and event.upstream_id == known.upstream_id:
+        # Its sender is the known start, or one that took its place.
+        notice = dataclasses.replace(notice, born_ms=known.born_ms)
+    return [log, *_take_notice(state, event, notice)]
+
+
+def _notice(
+    state: node.Node, event: events.UpstreamDraining | events.UpstreamAnnounced
+) -> notice_lib.Notice:
+    """Return the notice of leaving that a message is."""
+    taken_ms = state.wall_ms(event.now_s)
+    return notice_lib.Notice(
+        name=event.upstream_id,
+        taken_ms=taken_ms,
+        born_ms=event.born_ms,
+        open_ms=taken_ms if event.born_ms is None else None,
+    )
+
+
+def _take_notice(
+    state: node.Node, event: events.Event, notice: notice_lib.Notice
+) -> list[effects.Effect]:
+    """Keep a notice, tell the members and drain the upstream if it binds it."""
+    known = state.upstream
+    known.notices.add([notice])
+    notice = known.notices.get(notice.name)
+    drained = []
+    if known.upstream_id == notice.name and _leaves(
+        state, event, known.upstream_id, known.born_ms
+    ):
+        drained = drain(state, event, leaving=notice)
+    return drained or _tell_notice(state, event, notice)
+
+
+def _tell_notice(
+    state: node.Node, event: events.Event, notice: notice_lib.Notice
+) -> list[effects.Effect]:
+    """Let the members remember a notice for the next process."""
+    return [
+        *gossip.change_own(state, event, leaving=notice),
+        *gossip.spread_now(state, event),
+    ]
+
+
+def _leaves(
+    state: node.Node, event: events.Event, name: str, born_ms: int | None
+) -> bool:
+    """Return whether a start of an upstream is bound by a notice."""
+    now_ms = state.wall_ms(event.now_s)
+    return state.upstream.notices.binds(name, born_ms, now_ms)
 
 
 def _must_wait(state: node.Node, event: events.UpstreamAnnounced) -> bool:
@@ -83,23 +130,24 @@
 
 
 def remind(
-    state: node.Node, event: events.Event, names: tuple[str, ...]
+    state: node.Node,
+    event: events.Event,
+    notices: tuple[notice_lib.Notice, ...],
 ) -> list[effects.Effect]:
     """Take what members remember of upstreams that leave, and offer the own.
 
     Args:
         state: The node.
         event: The cause.
-        names: Upstreams of this instance that announced that they leave.
+        notices: Notices of leaving of this instance's upstreams.
 
     Returns:
         Effects.
     """
-    known = state.upstream
-    known.left.extend(name for name in names if name not in known.left)
     result: list[effects.Effect] = []
-    if _start_name(known.upstream_id, known.born_ms) in names:
-        result += _leave(state, event)
+    for notice in notices:
+        if state.upstream.notices.get(notice.name) != notice:
+            result += _take_notice(state, event, notice)
     if state.membership.joined:
         result += _offer_waiting(state)
     return result
@@ -144,13 +192,19 @@
     process has taken its place.
     """
     known = state.upstream
-    if _start_name(event.upstream_id, event.born_ms) in known.left:
+    if _leaves(state, event, event.upstream_id, event.born_ms):
         return event.draining
-    if event.born_ms != known.born_ms:
+    if event.born_ms is None or known.born_ms is None:
+        if event.born_ms is not known.born_ms:
+            # An upstream that tells its start does so each time.
+            return known.born_ms is None
+    elif event.born_ms != known.born_ms:
         return event.born_ms > known.born_ms
     if event.upstream_id != known.upstream_id:
         return True
-    return event.sequence > known.sequence or not event.sequence
+    if event.sequence is None or known.sequence is None:
+        return True
+    return event.sequence > known.sequence
 
 
 def _take(
@@ -177,9 +231,7 @@
         result.append(effects.SetTimer(timer=timer, delay_s=delay_s))
     if event.draining:
         state.admission.service = event.service
-        if event.upstream_id:
-            known.left.append(_start_name(event.upstream_id, event.born_ms))
-        return result + _leave(state, event)
+        return result + _take_notice(state, event, _notice(state, event))
     state.admission.announce(
         service=event.service,
         slots=event.slots,
@@ -192,9 +244,7 @@
     told = (own.service, own.slots, own.upstream)
     if told == (event.service, event.slots, member_lib.UpstreamState.READY):
         return result
-    has_notice = any(
-        _name_of(start) == event.upstream_id for start in known.left
-    )
+    has_notice = known.notices.get(event.upstream_id) is not None
     return [
         *result,
         _log(
@@ -210,20 +260,11 @@
             service=event.service,
             slots=event.slots,
             upstream=member_lib.UpstreamState.READY,
-            leaving="",
         ),
         *gossip.spread_now(state, event),
     ]
 
 
-def _start_name(upstream_id: str, born_ms: int) -> str:
-    return f"{upstream_id}/{born_ms}"
-
-
-def _name_of(start: str) -> str:
-    return start.rpartition("/")[0]
-
-
 def _log(
     code: logbook.Code, event: events.UpstreamAnnounced, **fields: object
 ) -> effects.Log:
@@ -255,17 +296,11 @@
     )
 
 
-def _leave(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Drain the known upstream, which announced that it leaves."""
-    known = state.upstream
-    leaving = ""
-    if known.upstream_id:
-        leaving = _start_name(known.upstream_id, known.born_ms)
-    return drain(state, event, leaving=leaving)
-
-
 def drain(
-    state: node.Node, event: events.Event, *, leaving: str = ""
+    state: node.Node,
+    event: events.Event,
+    *,
+    leaving: notice_lib.Notice | None = None,
 ) -> list[effects.Effect]:
     """Stop giving the own upstream new work and tell the others.
 
@@ -275,8 +310,7 @@
     Args:
         state: The node.
         event: The cause.
-        leaving: Name and start of the upstream if it announced that it
-            leaves; empty if only its node stops.
+        leaving: Its notice, or None if it gave none or only its node stops.
 
     Returns:
         Effects.
@@ -296,7 +330,7 @@
             state,
             event,
             upstream=member_lib.UpstreamState.DRAINING,
-            leaving=leaving,
+            leaving=leaving or state.membership.own.leaving,
         ),
         *gossip.spread_now(state, event),
         *attempts.perform(state, event, refused),
--- a/src/monsoonpass/core/membership/synchronisation.py
+++ b/src/monsoonpass/core/membership/synchronisation.py
@@ -41,11 +41,12 @@
         if ours != theirs
     )
     result = gossip.merge(state, event, [message.sender])
+    left = state.membership.left.get(event.sender.instance)
     reply = member_lib.SyncReply(
         buckets=differing,
         members=tuple(table.in_buckets(differing)),
         wants_reply=True,
-        left=tuple(state.membership.left.get(event.sender.instance, ())),
+        left=left.all if left is not None else (),
     )
     return [*result, effects.Send(to=event.sender, message=reply)]
 
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -13,6 +13,7 @@
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import member_table
+from monsoonpass.core.membership import notice as notice_lib
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -104,7 +105,7 @@
         mismatches: Contacts in a row whose table differed.
         partitioned: Whether many members are silent at once.
         kept: Suspects that were not declared dead because of that.
-        left: Upstreams that announced that they leave, by instance.
+        left: Notices of leaving of other nodes' upstreams, by instance.
     """
 
     own: member_lib.Member | None = None
@@ -125,7 +126,7 @@
     mismatches: int = 0
     partitioned: bool = False
     kept: set[str] = dataclasses.field(default_factory=set)
-    left: dict[str, collections.deque[str]] = dataclasses.field(
+    left: dict[str, notice_lib.Notices] = dataclasses.field(
         default_factory=dict
     )
 
@@ -293,25 +294,25 @@
 
     Attributes:
         upstream_id: Its own name, or empty.
-        born_ms: When it started, as it says.
-        sequence: Number of its last announcement.
+        born_ms: When it started, as it says; None if it does not.
+        sequence: Number of its last announcement; None if it has none.
         port: Where it listens.
         heard_s: When it was last heard, by announcement or answer.
         may_return: Whether it is withdrawn only because it could not be
             reached, and is offered again after a while.
-        left: Names of those that said they leave, oldest first.
+        notices: Notices of leaving.
         waiting: What an upstream announced before this process could be told
             of those that left.
     """
 
     upstream_id: str = ""
-    born_ms: int = 0
-    sequence: int = 0
+    born_ms: int | None = None
+    sequence: int | None = None
     port: int = 0
     heard_s: float = float("-inf")
     may_return: bool = False
-    left: collections.deque[str] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=16)
+    notices: notice_lib.Notices = dataclasses.field(
+        default_factory=notice_lib.Notices
     )
     waiting: Any = None
 
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -278,7 +278,7 @@
     async def _farewell(self, scope: dict[str, Any], body: bytes) -> Answer:
         """Take an upstream's notice that it leaves."""
         self._check_local(scope)
-        born = 0
+        born = None
         if body:
             try:
                 born = models.Farewell.model_validate_json(body).born
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -243,6 +243,47 @@
             mesh.run(0.1)
             assert not node.state.admission.accepts
 
+    def test_members_remember_it_though_the_node_was_stopping(self):
+        """Guard: `_tell_notice` where nothing is left to drain."""
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        announce(node, born=self.BORN_MS)
+        node.feed(events.StopRequested)
+        self.notice(node)
+        mesh.run(0.5)
+        node.crash()
+        node.start()
+        announce(node, born=self.BORN_MS, sequence=2)
+        mesh.run(2 * own_upstream.JOIN_WAIT_S)
+        assert not node.state.admission.accepts
+
+    def test_next_process_tells_it_to_members_that_forgot(self):
+        """Guard: `_tell_notice` for what members remember."""
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        self.notice(node)
+        mesh.run(0.5)
+        node.crash()
+        node.start()
+        mesh.run(5.0)
+        for seed in ("n1-0", "n2-0", "s1-0"):
+            mesh.nodes[seed].crash()
+            mesh.nodes[seed].start()
+            mesh.run(2.0)
+        node.crash()
+        node.start()
+        announce(node, born=self.BORN_MS)
+        mesh.run(2 * own_upstream.JOIN_WAIT_S)
+        assert not node.state.admission.accepts
+
+    def test_start_is_bound_that_took_the_known_ones_place(self):
+        """The known start has ended unnoticed; its successor leaves."""
+        scene = Scene()
+        scene.announce(born=self.BORN_MS - 5000)
+        self.notice(scene.node)
+        assert not scene.announce(born=self.BORN_MS)
+        assert not scene.state.admission.accepts
+
     def test_next_start_under_the_name_is_offered(self):
         scene = Scene()
         self.notice(scene.node)
