Know to which process a call, a connection and a failure belong

Cause: a call that waited, a connection and the failure of a call did not say of which upstream process they are. When another one takes the place, a waiting call of the old service was given to the new one's service; a connection in use went back to the pool and was used for the next process; a 421 or a refused connection of a call for the old process withdrew the new one. Each guard taken out fails a test.

--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -80,10 +80,12 @@
     result: list[effects.Effect] = []
     for work in decision.dispatch:
         timeout_s = max(work.deadline_s - event.now_s, 0.001)
+        work.upstream = state.upstream.number
         result.append(
             effects.Dispatch(
                 work_id=work.work_id,
                 timeout_s=timeout_s,
+                upstream=work.upstream,
                 idempotent=work.idempotent,
             )
         )
--- a/src/monsoonpass/core/calls/calls.py
+++ b/src/monsoonpass/core/calls/calls.py
@@ -172,6 +172,7 @@
 
 @step.step.register
 def _(event: events.WorkFinished, state: node.Node) -> list[effects.Effect]:
+    work = state.admission.in_progress.get(event.work_id)
     decision = state.admission.finish(
         event.work_id,
         service_time_s=event.service_time_s,
@@ -180,7 +181,8 @@
         shed=event.shed,
     )
     result = attempts.perform(state, event, decision)
-    result += own_upstream.judge(state, event)
+    if work is not None and work.upstream == state.upstream.number:
+        result += own_upstream.judge(state, event)
     call = state.calls.get(event.work_id)
     attempt_number = attempts.own_attempt(state, call)
     if call is None or not attempt_number:
--- a/src/monsoonpass/core/calls/work.py
+++ b/src/monsoonpass/core/calls/work.py
@@ -27,6 +27,7 @@
         beside: Calls in progress when it got a slot, itself included.
         ahead: Calls of its route that waited when it came.
         probes: Whether it runs to learn how long its route takes now.
+        upstream: Number of the process that it was given to.
     """
 
     work_id: int
@@ -43,6 +44,7 @@
     beside: int = 0
     ahead: int = 0
     probes: bool = False
+    upstream: int = 0
 
     @property
     def latest_s(self) -> float:
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -133,10 +133,12 @@
     Attributes:
         port: Where it listens.
         upstream_id: Its own name, or empty.
+        number: Tells it from the processes before it.
     """
 
     port: int
     upstream_id: str
+    number: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,11 +148,13 @@
     Attributes:
         work_id: The call, or the peer's call, at this node.
         timeout_s: Time left until its deadline.
+        upstream: Number of the process that it is for (`UseUpstream`).
         idempotent: Whether it may be sent to an upstream again.
     """
 
     work_id: int
     timeout_s: float
+    upstream: int
     idempotent: bool = True
 
 
--- a/src/monsoonpass/core/membership/offer.py
+++ b/src/monsoonpass/core/membership/offer.py
@@ -11,6 +11,7 @@
 from monsoonpass.core import timers
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import work as work_lib
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import notice as notice_lib
@@ -87,6 +88,10 @@
     """Let the upstream take calls, and tell the others if that is news."""
     known = state.upstream
     announced = known.announced
+    refused = work_lib.Decision()
+    if announced.service != state.admission.service:
+        # What waits is for the service of the process before.
+        refused = state.admission.refuse_all(Reason.NO_UPSTREAM)
     state.admission.announce(
         service=announced.service,
         slots=announced.slots,
@@ -118,6 +123,7 @@
             upstream=ready,
         ),
         *gossip.spread_now(state, event),
+        *attempts.perform(state, event, refused),
     ]
 
 
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -253,9 +253,13 @@
     result: list[effects.Effect] = []
     is_next = order is upstream_lib.Order.NEXT
     if is_next or event.port != known.announced.port:
-        result.append(
-            effects.UseUpstream(port=event.port, upstream_id=event.upstream_id)
+        known.number += 1
+        used = effects.UseUpstream(
+            port=event.port,
+            upstream_id=event.upstream_id,
+            number=known.number,
         )
+        result.append(used)
     if is_next:
         known.fresh = True
         known.failures = 0
--- a/src/monsoonpass/core/membership/upstream.py
+++ b/src/monsoonpass/core/membership/upstream.py
@@ -23,6 +23,7 @@
     Attributes:
         phase: What is done with it.
         announced: Its last announcement, or None.
+        number: Counts the processes known so far; that of this one.
         fresh: Whether it was not offered yet since it took its place.
         heard_s: When it was last heard, by announcement or answer.
         failures: Failed connections in a row.
@@ -32,6 +33,7 @@
 
     phase: phase_lib.Phase = phase_lib.Phase.ABSENT
     announced: events.UpstreamAnnounced | None = None
+    number: int = 0
     fresh: bool = False
     heard_s: float = float("-inf")
     failures: int = 0
--- a/src/monsoonpass/runtime/owner.py
+++ b/src/monsoonpass/runtime/owner.py
@@ -66,6 +66,7 @@
         deadline_s: When the answer must be complete, once it runs.
         idempotent: Whether the call may be sent to an upstream again.
         shed: Whether the upstream refused it for load.
+        upstream: Number of the process that it is for.
     """
 
     work_id: int
@@ -84,6 +85,7 @@
     deadline_s: float = 0.0
     idempotent: bool = True
     shed: bool = False
+    upstream: int = 0
 
 
 class Owner:
@@ -113,9 +115,11 @@
         engine.on(effects.UseUpstream, self._use_upstream)
 
     def _use_upstream(self, effect: effects.UseUpstream) -> None:
-        if effect.port:
-            self.pool.port = effect.port
-        self.pool.upstream_id = effect.upstream_id.encode()
+        self.pool.use(
+            port=effect.port,
+            upstream_id=effect.upstream_id.encode(),
+            number=effect.number,
+        )
         if self._group is not None:
             self._group.start_soon(self.pool.close_idle)
 
@@ -128,6 +132,7 @@
     def _dispatch(self, effect: effects.Dispatch) -> None:
         work = self.works[effect.work_id]
         work.idempotent = effect.idempotent
+        work.upstream = effect.upstream
         self._group.start_soon(self._run_work, work, effect.timeout_s)
 
     def _abort(self, effect: effects.AbortDispatch) -> None:
@@ -183,7 +188,7 @@
         )
         whole = False
         try:
-            self._check_leaving()
+            self._check_current(work, connection)
             await self._send_head(work, span, connection)
             head = await self._receive_head(work, connection)
             work.answer_begun = True
@@ -203,15 +208,20 @@
                     connection, engine_lib.now_s(), reuse=whole
                 )
 
-    def _check_leaving(self) -> None:
+    def _check_current(
+        self, work: Work, connection: upstream.Connection
+    ) -> None:
         """Keep back a call whose upstream left while it was connected.
 
         Raises:
-            NotRunError: The upstream announced that it leaves.
+            NotRunError: The upstream announced that it leaves, or another
+                process has taken its place.
         """
         own = self._engine.state.admission.upstream
         if own is member_lib.UpstreamState.DRAINING:
             raise NotRunError(outcome.Reason.DRAINING)
+        if not work.upstream == connection.number == self.pool.number:
+            raise NotRunError(outcome.Reason.UPSTREAM_REPLACED)
 
     async def _receive_head(
         self, work: Work, connection: upstream.Connection
--- a/src/monsoonpass/runtime/upstream.py
+++ b/src/monsoonpass/runtime/upstream.py
@@ -32,11 +32,13 @@
     """One connection to the upstream.
 
     Attributes:
+        number: Number of the process that it leads to.
         idle_since_s: When its last exchange ended.
         idle_max_s: Time for which the upstream keeps it idle.
     """
 
-    def __init__(self, *, stream: anyio.abc.SocketStream):
+    def __init__(self, *, stream: anyio.abc.SocketStream, number: int):
+        self.number = number
         self._stream = stream
         self._is_tainted = False
         self._request: h11.Request | None = None
@@ -235,15 +237,30 @@
         host: IP number of the upstream.
         port: Its port; set when it announces itself.
         upstream_id: Its own name, if it told one.
+        number: Tells it from the processes that were there before.
     """
 
     def __init__(self, *, host: str, limit: int):
         self.host = host
         self.port = 0
         self.upstream_id = b""
+        self.number = 0
         self._idle: list[Connection] = []
         self._limit = anyio.Semaphore(limit)
 
+    def use(self, *, port: int, upstream_id: bytes, number: int) -> None:
+        """Lead to another process from now on.
+
+        Args:
+            port: Its port; 0 if that is the same.
+            upstream_id: Its own name, if it told one.
+            number: Its number.
+        """
+        if port:
+            self.port = port
+        self.upstream_id = upstream_id
+        self.number = number
+
     async def acquire(
         self, now_s: float, *, idempotent: bool = True
     ) -> Connection:
@@ -268,7 +285,8 @@
                 limit_s = connection.idle_max_s
                 if not idempotent:
                     limit_s = min(limit_s, ONCE_IDLE_MAX_S)
-                if age_s < limit_s and not connection.is_stale:
+                is_fresh = age_s < limit_s and not connection.is_stale
+                if is_fresh and connection.number == self.number:
                     return connection
                 await connection.aclose()
             return await self._open()
@@ -282,7 +300,8 @@
         """Give a connection back, or close it if it cannot be reused."""
         connection.finish(now_s)
         try:
-            if reuse and connection.is_reusable:
+            is_current = connection.number == self.number
+            if reuse and is_current and connection.is_reusable:
                 self._idle.append(connection)
             else:
                 await connection.aclose()
@@ -297,9 +316,10 @@
     async def _open(self) -> Connection:
         if not self.port:
             raise errors.UpstreamConnectError("no upstream is announced")
+        number = self.number
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(self.host, self.port)
         except (OSError, TimeoutError) as error:
             raise errors.UpstreamConnectError(str(error)) from error
-        return Connection(stream=stream)
+        return Connection(stream=stream, number=number)
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -7,7 +7,6 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import logbook
-from monsoonpass.core import reducer
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import notice as notice_lib
 from monsoonpass.core.membership import offer
@@ -28,6 +27,28 @@
         )
         self.node.start()
         self.state = self.node.state
+        self.calls: list[int] = []
+
+    def call(self, service: str = "shop") -> None:
+        """Let a call arrive from a peer."""
+        self.calls.append(len(self.calls) + 1)
+        self.node.feed(
+            events.PeerCallArrived,
+            work_id=self.calls[-1],
+            service=service,
+            timeout_s=5.0,
+            priority=1,
+            bulk=False,
+            route="r",
+        )
+
+    def dispatched(self) -> list[int]:
+        """Return the calls that were given to an upstream."""
+        return [
+            effect.work_id
+            for effect in self.node.performed
+            if isinstance(effect, effects.Dispatch)
+        ]
 
     def announce(self, name="i-1", *, born=1, sequence=1, **changes) -> bool:
         """Announce an upstream; return whether it was taken."""
@@ -47,13 +68,14 @@
         return result.taken
 
     def fail(self, reason) -> None:
-        """Let a call end before it has run."""
+        """Let the oldest call end before it has run."""
         failure = own_upstream.outcome.Failure(
             outcome=own_upstream.outcome.Outcome.NOT_RUN, reason=reason
         )
+        work_id = min(self.state.admission.in_progress)
         self.node.feed(
             events.WorkFinished,
-            work_id=1,
+            work_id=work_id,
             service_time_s=0.1,
             failure=failure,
         )
@@ -61,6 +83,7 @@
     def withdraw(self) -> None:
         """Let three connections to the upstream fail."""
         for _ in range(own_upstream.UNREACHABLE_MAX):
+            self.call()
             self.fail(own_upstream.Reason.UPSTREAM_UNREACHABLE)
         assert self.state.admission.upstream is UpstreamState.NONE
 
@@ -436,6 +459,7 @@
         scene.announce(sequence=1)
         scene.withdraw()
         scene.announce(sequence=2)
+        scene.call()
         scene.fail(own_upstream.Reason.UPSTREAM_REPLACED)
         scene.mesh.run(40)
         assert scene.state.admission.upstream is UpstreamState.NONE
@@ -443,6 +467,8 @@
     def test_unreachable_upstream_that_was_replaced_is_not_offered(self):
         scene = Scene()
         scene.announce(sequence=1)
+        scene.call()
+        scene.call()
         scene.withdraw()
         scene.fail(own_upstream.Reason.UPSTREAM_REPLACED)
         scene.mesh.run(40)
@@ -479,15 +505,47 @@
     def test_replaced_upstream_is_withdrawn_at_once(self):
         scene = Scene()
         scene.announce(sequence=1)
-        event = events.WorkFinished(
-            now_s=scene.mesh.now_s,
-            entropy=1,
-            work_id=1,
-            service_time_s=0.1,
-            failure=own_upstream.outcome.Failure(
-                outcome=own_upstream.outcome.Outcome.NOT_RUN,
-                reason=own_upstream.Reason.UPSTREAM_REPLACED,
-            ),
-        )
-        reducer.step(event, scene.state)
+        scene.call()
+        scene.fail(own_upstream.Reason.UPSTREAM_REPLACED)
         assert scene.state.admission.upstream is UpstreamState.NONE
+
+
+class TestNextStart:
+    """What was begun with one start says nothing of the next."""
+
+    @pytest.mark.parametrize(
+        "reason",
+        [
+            own_upstream.Reason.UPSTREAM_REPLACED,
+            own_upstream.Reason.UPSTREAM_UNREACHABLE,
+        ],
+    )
+    def test_failure_at_an_earlier_start_does_not_withdraw_it(self, reason):
+        """Guard: `work.upstream` in the handler of WorkFinished."""
+        scene = Scene()
+        scene.announce("i-1", born=10)
+        for _ in range(own_upstream.UNREACHABLE_MAX):
+            scene.call()
+        scene.announce("i-2", born=20)
+        for _ in range(own_upstream.UNREACHABLE_MAX):
+            scene.fail(reason)
+        assert scene.state.admission.accepts
+
+    def test_call_that_waits_is_not_given_to_another_service(self):
+        """Guard: the refusal in offer._offer."""
+        scene = Scene()
+        scene.announce("i-1", born=10, slots=1)
+        scene.call()
+        scene.call()
+        scene.announce("i-2", born=20, slots=1, service="till")
+        scene.fail(own_upstream.Reason.UPSTREAM_UNREACHABLE)
+        assert scene.dispatched() == [1]
+
+    def test_call_that_waits_is_given_to_the_next_start_of_its_service(self):
+        scene = Scene()
+        scene.announce("i-1", born=10, slots=1)
+        scene.call()
+        scene.call()
+        scene.announce("i-2", born=20, slots=1)
+        scene.fail(own_upstream.Reason.UPSTREAM_UNREACHABLE)
+        assert scene.dispatched() == [1, 2]
--- a/tests/test_own_upstream_fuzz.py
+++ b/tests/test_own_upstream_fuzz.py
@@ -191,10 +191,22 @@
         failure = outcome.Failure(
             outcome=outcome.Outcome.NOT_RUN, reason=reason
         )
-        for _ in range(3):
+        for number in range(3):
+            self.node.feed(
+                events.PeerCallArrived,
+                work_id=number,
+                service="shop",
+                timeout_s=5.0,
+                priority=1,
+                bulk=False,
+                route="r",
+            )
+        if not self.node.alive:
+            return
+        for number in list(self.node.state.admission.in_progress):
             self.node.feed(
                 events.WorkFinished,
-                work_id=1,
+                work_id=number,
                 service_time_s=0.1,
                 failure=failure,
             )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -97,6 +97,28 @@
         play([whole("7", "once"), whole("7", "again")], script)
 
 
+class TestNextProcess:
+    """Another process has taken the upstream's place."""
+
+    @pytest.mark.parametrize("is_idle", [True, False])
+    def test_connection_to_the_one_before_is_not_used_again(self, is_idle):
+        """Guard: `connection.number` in Pool.acquire and Pool.release."""
+
+        async def script(pool):
+            first, _ = await exchange(pool)
+            if is_idle:
+                await pool.release(first, 0.0, reuse=True)
+            pool.use(port=0, upstream_id=b"i-2", number=2)
+            if not is_idle:
+                await pool.release(first, 0.0, reuse=True)
+                assert not pool._idle
+            second = await pool.acquire(0.0)
+            assert second is not first
+            assert second.number == 2
+
+        play([whole("7", "once")], script)
+
+
 class TestIdle:
     def test_call_that_must_not_repeat_gets_a_fresh_connection(self):
         """Guard: the `idempotent` limit in Pool.acquire."""
