Tell seeds of a notice that comes before the node has joined

Cause: news goes to known members only. Now the seeds that are not in the table are told directly, in the message by which a node joins. The test fails without it. contact holds that message, which two modules shared.

--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -20,6 +20,7 @@
 from monsoonpass.core import step
 from monsoonpass.core import timers
 from monsoonpass.core.distribution import catch_up
+from monsoonpass.core.membership import contact
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import synchronisation
@@ -158,7 +159,7 @@
     result.append(effects.SendDatagram(to=event.sender, message=ack))
     if state.membership.table.get(event.sender.instance) is None:
         # After a restart of this node, the sender knows more than the seeds.
-        result.append(synchronisation.request(state, event.sender))
+        result.append(contact.request(state, event.sender))
     return result + _heard(state, event, message.version, message.table_digest)
 
 
@@ -288,4 +289,4 @@
     if membership.mismatches < SYNC_AFTER_MISMATCHES or membership.updates:
         return result
     membership.mismatches = 0
-    return [*result, synchronisation.request(state, event.sender)]
+    return [*result, contact.request(state, event.sender)]
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -14,6 +14,7 @@
 from monsoonpass.core import step
 from monsoonpass.core import timers
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.membership import contact
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import notice as notice_lib
 from monsoonpass.core.membership import offer
@@ -123,13 +124,14 @@
     leaves = known.name == notice.name and known.leaves(
         state.wall_ms(event.now_s)
     )
-    drained = offer.change(state, event, Cause.LEAVES, notice) if leaves else []
-    if drained:
-        return drained
-    return [
-        *gossip.change_own(state, event, leaving=notice),
-        *gossip.spread_now(state, event),
-    ]
+    told = offer.change(state, event, Cause.LEAVES, notice) if leaves else []
+    if not told:
+        told = [
+            *gossip.change_own(state, event, leaving=notice),
+            *gossip.spread_now(state, event),
+        ]
+    # A process that has not joined yet knows no members to tell it.
+    return told + contact.meet_seeds(state)
 
 
 def remind(
--- a/src/monsoonpass/core/membership/synchronisation.py
+++ b/src/monsoonpass/core/membership/synchronisation.py
@@ -5,13 +5,13 @@
 seed that is missing is asked now and then, so that a split table mends.
 """
 
-from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import entropy as entropy_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import step
 from monsoonpass.core import timers
+from monsoonpass.core.membership import contact
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import own_upstream
@@ -89,17 +89,7 @@
         timer=timers.Join(),
         delay_s=draws.uniform(0.5 * usual_s, 1.5 * usual_s),
     )
-    return [request(state, draws.choice(seeds)), retry]
-
-
-def meet_seeds(state: node.Node) -> list[effects.Effect]:
-    """Synchronise the table with every seed that is not yet in it."""
-    table = state.membership.table
-    return [
-        request(state, seed.address)
-        for seed in state.settings.local_seeds
-        if table.get(seed.address.instance) is None
-    ]
+    return [contact.request(state, draws.choice(seeds)), retry]
 
 
 def contact_lost(state: node.Node, event: events.Event) -> list[effects.Effect]:
@@ -113,12 +103,4 @@
         member = table.get(seed.address.instance)
         if member is None or not member.is_present:
             lost.append(seed.address)
-    return [request(state, draws.choice(lost))] if lost else []
-
-
-def request(state: node.Node, to: address_lib.Address) -> effects.Send:
-    """Ask a node for what its table has and the own one lacks."""
-    message = member_lib.SyncRequest(
-        sender=state.membership.own, buckets=state.membership.table.buckets
-    )
-    return effects.Send(to=to, message=message)
+    return [contact.request(state, draws.choice(lost))] if lost else []
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -307,7 +307,7 @@
             assert not node.state.admission.accepts
 
     def test_members_remember_it_though_the_node_was_stopping(self):
-        """Guard: `_tell_notice` where nothing is left to drain."""
+        """Guard: `if not told` in own_upstream._take_notice."""
         mesh = fake_places.make_flat_regions(3)
         node = mesh.nodes["s2-1"]
         announce(node, born=self.BORN_MS)
@@ -320,8 +320,23 @@
         mesh.run(2 * offer.JOIN_WAIT_S)
         assert not node.state.admission.accepts
 
+    def test_process_that_has_not_joined_tells_it_to_the_seeds(self):
+        """Guard: `meet_seeds` in own_upstream._take_notice."""
+        mesh = fake_places.make_flat_regions(3)
+        node = mesh.nodes["s2-1"]
+        node.crash()
+        node.start()
+        self.notice(node)
+        mesh.run(0.02)
+        node.crash()
+        mesh.run(0.3)
+        node.start()
+        announce(node, born=self.BORN_MS)
+        mesh.run(2 * offer.JOIN_WAIT_S)
+        assert not node.state.admission.accepts
+
     def test_next_process_tells_it_to_members_that_forgot(self):
-        """Guard: `_tell_notice` for what members remember."""
+        """Guard: `_take_notice` in own_upstream.remind."""
         mesh = fake_places.make_flat_regions(3)
         node = mesh.nodes["s2-1"]
         self.notice(node)
@@ -454,7 +469,7 @@
         assert scene.state.admission.accepts
 
     def test_replaced_upstream_is_not_offered_by_an_older_recheck(self):
-        """Guard: `may_return` in own_upstream."""
+        """Guard: the row of `LOST` in phase."""
         scene = Scene()
         scene.announce(sequence=1)
         scene.withdraw()
@@ -492,7 +507,7 @@
 
 class TestSilence:
     def test_silent_upstream_is_withdrawn_until_it_is_heard(self):
-        """Guard: the timer set in own_upstream._take."""
+        """Guard: the timer set in own_upstream._adopt."""
         scene = Scene(silence_s=5.0)
         scene.announce(sequence=1)
         scene.mesh.run(4.0)
