Take no answer with an id for a call without one

An answer that an upstream sends once too often carries the id of its own call. A call whose caller gave no id was given whatever came, since a missing id was compared as "any". Now such a call takes only answers without an id. The test fails before.

--- a/src/monsoonpass/runtime/owner.py
+++ b/src/monsoonpass/runtime/owner.py
@@ -260,11 +260,10 @@
         raise errors.UpstreamBrokenError(f"unproven status {head.status}")
 
     def _call_id(self, work: Work) -> tuple[bytes, bytes]:
+        """Return the header that names the call, empty if it has none."""
         name = self._names.call_id
-        for header in work.headers:
-            if header[0] == name:
-                return header
-        return upstream.NO_ID
+        told = (value for key, value in work.headers if key == name)
+        return name, next(told, b"")
 
     async def _send_head(
         self, work: Work, span: tracing.Span, connection: upstream.Connection
--- a/src/monsoonpass/runtime/upstream.py
+++ b/src/monsoonpass/runtime/upstream.py
@@ -113,7 +113,8 @@
         skipped too; the connection is not used again after that.
 
         Args:
-            call_id: Header that the answer must repeat, if it has a name.
+            call_id: Header that the answer must repeat, if it has a name; with
+                an empty value, one that the answer must not have.
 
         Raises:
             UpstreamBrokenError: The answer broke off or is malformed.
@@ -122,7 +123,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple(event.headers)
-                if call_id[0] and call_id not in headers:
+                if not _is_answer_to(call_id, headers):
                     await self._skip_answer()
                     continue
                 self._note_idle_limit(headers)
@@ -230,6 +231,17 @@
             ) from error
 
 
+def _is_answer_to(
+    call_id: tuple[bytes, bytes], headers: tuple[tuple[bytes, bytes], ...]
+) -> bool:
+    """Return whether an answer repeats the id of a call, or the lack of it."""
+    name, value = call_id
+    if not name:
+        return True
+    told = {header[1] for header in headers if header[0] == name}
+    return value in told if value else not told
+
+
 class Pool:
     """The connections to the own upstream, at most a fixed number.
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -68,6 +68,18 @@
 
         play([whole("6", "another's") + whole("7", "mine")], script)
 
+    def test_answer_with_an_id_is_not_that_of_a_call_without_one(self):
+        """Guard: `_is_answer_to` in upstream."""
+
+        async def script(pool):
+            connection, body = await exchange(pool, (b"call", b""))
+            assert body == b"mine"
+            await pool.release(connection, 0.0, reuse=True)
+            assert not connection.is_reusable
+
+        mine = whole("", "mine").replace(b"call: \r\n", b"")
+        play([whole("6", "another's") + mine], script)
+
     def test_answer_to_another_call_alone_is_a_failure(self):
         async def script(pool):
             with pytest.raises(errors.UpstreamBrokenError):
