Say when an announcement is not taken

What an upstream saw: POST /v1/upstream was answered 200 though the announcement was ignored, and a PUT or DELETE that names no upstream was taken for one with an empty name, the missing part that means "whichever is there" elsewhere. Both tests fail before. Now 409, and 404.

--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -124,7 +124,7 @@
     async def _handle(self, scope: dict[str, Any], receive: Receive) -> Answer:
         method, path = scope["method"], scope["path"]
         handler = self._handlers.get((method, path))
-        if handler is None and path.startswith(UPSTREAMS_PATH):
+        if handler is None and _name(scope):
             handler = {"PUT": self._heartbeat, "DELETE": self._farewell}.get(
                 method
             )
@@ -230,8 +230,7 @@
             announcement = models.Announcement.model_validate_json(body)
         except pydantic.ValidationError as error:
             raise _failure(422, "invalid", str(error)) from error
-        self._engine.feed(
-            events.UpstreamAnnounced,
+        await self._take(
             service=announcement.service,
             slots=announcement.slots,
             cold=announcement.cold,
@@ -239,6 +238,12 @@
         )
         return Answer(200, b'{"status": "announced"}')
 
+    async def _take(self, **fields: Any) -> None:
+        """Feed an announcement; answer 409 if it is not taken."""
+        result = await self._ask(events.UpstreamAnnounced, **fields)
+        if not result.taken:
+            raise _failure(409, "outdated", "a newer announcement is known")
+
     async def _drain(self, scope: dict[str, Any], body: bytes) -> Answer:
         self._check_local(scope)
         self._engine.feed(events.UpstreamDraining)
@@ -259,20 +264,17 @@
             raise self._bad_announcement(scope, "another instance's address")
         if known and beat.service not in known:
             raise self._bad_announcement(scope, "an unknown service")
-        result = await self._ask(
-            events.UpstreamAnnounced,
+        await self._take(
             service=beat.service,
             slots=beat.slots,
             cold=beat.cold_s > 0,
             cold_s=beat.cold_s,
             port=address.port,
             draining=beat.state == "draining",
-            upstream_id=scope["path"].removeprefix(UPSTREAMS_PATH),
+            upstream_id=_name(scope),
             born_ms=beat.born,
             sequence=beat.sequence,
         )
-        if not result.taken:
-            raise _failure(409, "outdated", "a newer announcement is known")
         return Answer(200, b"{}")
 
     async def _farewell(self, scope: dict[str, Any], body: bytes) -> Answer:
@@ -286,7 +288,7 @@
                 raise self._bad_announcement(scope, str(error)) from error
         self._engine.feed(
             events.UpstreamDraining,
-            upstream_id=scope["path"].removeprefix(UPSTREAMS_PATH),
+            upstream_id=_name(scope),
             born_ms=born,
         )
         return Answer(200, b"{}")
@@ -294,7 +296,7 @@
     def _bad_announcement(self, scope: dict[str, Any], cause: str) -> Answer:
         self._logger.write(
             logbook.Code.ANNOUNCEMENT_IGNORED,
-            upstream=scope["path"].removeprefix(UPSTREAMS_PATH)[:64],
+            upstream=_name(scope)[:64],
             cause=" ".join(cause.split())[:200],
         )
         return _failure(422, "invalid", "not a usable announcement")
@@ -365,6 +367,12 @@
             raise _failure(403, "forbidden", "only from this instance")
 
 
+def _name(scope: dict[str, Any]) -> str:
+    """Return the upstream that a path names, empty if it names none."""
+    prefix, _, name = scope["path"].partition(UPSTREAMS_PATH)
+    return "" if prefix else name
+
+
 def _failure(status: int, code: str, message: str) -> Answer:
     content = json.dumps({"status": code, "message": message})
     return Answer(status, content.encode())
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -177,6 +177,41 @@
         run_scene(tmp_path, play)
 
 
+class TestAnnouncements:
+    def test_announcement_that_is_not_taken_is_told_so(self, tmp_path):
+        """Guard: `result.taken` in operator_api._take."""
+        beat = {
+            "service": "shop",
+            "address": "127.0.0.1:9000",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1,
+        }
+        plain = {"service": "shop", "slots": 4, "port": 9000}
+
+        async def play(mesh):
+            url = f"{mesh.nodes[0].operator_url}/v1"
+            named = f"{url}/upstreams/i-1"
+            response = await mesh.http.put(named, json=beat)
+            assert response.status_code == 200
+            for answer in (
+                await mesh.http.put(named, json=beat),
+                await mesh.http.post(f"{url}/upstream", json=plain),
+            ):
+                assert answer.status_code == 409
+                assert answer.json()["status"] == "outdated"
+
+        run_scene(tmp_path, play)
+
+    def test_path_without_a_name_is_no_upstream(self, tmp_path):
+        async def play(mesh):
+            url = f"{mesh.nodes[0].operator_url}/v1/upstreams/"
+            assert (await mesh.http.delete(url)).status_code == 404
+
+        run_scene(tmp_path, play)
+
+
 class TestTelemetry:
     def test_every_hop_has_a_span_of_the_callers_trace(self, tmp_path):
         trace_file = tmp_path / "trace.jsonl"
