Match answers of peers with the process that asked

Probes, surveys and the synchronisation by which a node joins were told apart by numbers that begin anew with each process, or by the sender alone. A late answer to an earlier process of a node vouched for a member that nobody had heard, entered old versions into a survey, or counted as the new process's own join, which ends the wait for what members remember of a leaving upstream. Three tests, each fails without its line.

--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -151,9 +151,11 @@
             buckets back.
         left: Notices of leaving of the receiver's upstreams, as far as the
             sender remembers. Its process may be new and not know.
+        asked: Incarnation of the receiver when it asked; 0 if it did not.
     """
 
     buckets: tuple[int, ...]
     members: tuple[Member, ...]
     wants_reply: bool
     left: tuple[notice_lib.Notice, ...] = ()
+    asked: int = 0
--- a/src/monsoonpass/core/membership/membership.py
+++ b/src/monsoonpass/core/membership/membership.py
@@ -29,6 +29,7 @@
 PROBE_TIMEOUT_S = 0.4
 INDIRECT_PROBES = 3
 SYNC_AFTER_MISMATCHES = 3
+PROBE_NUMBERS = 1 << 30  # First numbers to draw from; five bytes each.
 NEAR_PROBES = 2  # Probes in the own data centre for one in another.
 
 
@@ -62,7 +63,11 @@
         upstream=member_lib.UpstreamState.NONE,
         region=settings.region,
     )
+    membership.first_incarnation = event.wall_ms
     membership.table.put(membership.own, event.now_s)
+    # Late answers to an earlier process of this node must not match.
+    numbers = entropy_lib.Entropy(bits=~event.entropy)
+    membership.probe_number = numbers.below(PROBE_NUMBERS)
     jitter = entropy_lib.Entropy(bits=event.entropy)
     return [
         *synchronisation.join(state, event),
--- a/src/monsoonpass/core/membership/synchronisation.py
+++ b/src/monsoonpass/core/membership/synchronisation.py
@@ -47,6 +47,7 @@
         members=tuple(table.in_buckets(differing)),
         wants_reply=True,
         left=left.all if left is not None else (),
+        asked=message.sender.incarnation,
     )
     return [*result, effects.Send(to=event.sender, message=reply)]
 
@@ -58,8 +59,10 @@
     membership = state.membership
     seeds = [seed.address.instance for seed in state.settings.local_seeds]
     # A newcomer's answer says nothing of the others: two groups of nodes that
-    # start together might each take themselves for the whole.
-    membership.joined |= message.wants_reply and event.sender.instance in seeds
+    # start together might each take themselves for the whole. One to an
+    # earlier process of this node lacks what that has told since.
+    is_own = message.asked >= membership.first_incarnation
+    membership.joined |= is_own and event.sender.instance in seeds
     membership.mismatches = 0
     mine = membership.table.in_buckets(message.buckets)
     result = own_upstream.remind(state, event, message.left)
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -95,6 +95,7 @@
         own: This node's own record.
         table: All members.
         updates: News by instance: the record and how often to send it yet.
+        first_incarnation: Incarnation of the own record at the start.
         probes: Probes under way, by number.
         probe_number: Number of the last probe.
         probe_order: Members still to be probed in this round.
@@ -114,6 +115,7 @@
         default_factory=member_table.MemberTable
     )
     updates: dict[str, list[Any]] = dataclasses.field(default_factory=dict)
+    first_incarnation: int = 0
     probes: dict[int, Any] = dataclasses.field(default_factory=dict)
     probe_number: int = 0
     probe_order: list[str] = dataclasses.field(default_factory=list)
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -38,6 +38,8 @@
 def _(event: events.Started, state: node.Node) -> list[effects.Effect]:
     state.wall_offset_ms = event.wall_ms - int(event.now_s * 1000)
     state.started_s = event.now_s
+    # Late answers to surveys of an earlier process must not match.
+    state.survey_number = event.wall_ms
     state.admission.queue_limit = state.settings.queue_limit
     distribution.start(state, event)
     return [
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,9 @@
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
+from monsoonpass.core.distribution import survey
 from monsoonpass.core.membership import member as member_lib
+from tests import fake_mesh
 from tests import fake_places
 
 
@@ -44,6 +46,59 @@
         mesh.run(5)
         assert mesh.nodes["n0"].state.membership.joined
 
+    def test_answer_to_an_earlier_process_is_no_join(self):
+        """It may be older than what that process told since.
+
+        Guard: `message.asked` in the handler of SyncReply.
+        """
+        mesh = fake_places.make_flat(4, 1)
+        for node in mesh.nodes.values():
+            node.start()
+        mesh.run(3)
+        node = mesh.nodes["n3"]
+        asked = node.state.membership.own.incarnation
+        mesh.split({"n3"})
+        node.crash()
+        mesh.run(0.5)
+        node.start()
+        reply = member_lib.SyncReply(
+            buckets=(), members=(), wants_reply=True, asked=asked
+        )
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("n0"),
+            message=reply,
+        )
+        assert not node.state.membership.joined
+        mesh.cut.clear()
+        mesh.run(3)
+        assert node.state.membership.joined
+
+    def test_ack_of_an_earlier_process_answers_no_probe(self):
+        """Guard: the first `probe_number` in membership.start."""
+        mesh = fake_places.make_flat(4, 1)
+        for node in mesh.nodes.values():
+            node.start()
+        node = mesh.nodes["n3"]
+        mesh.run(20)
+        before = node.state.membership.probe_number
+        node.crash()
+        node.start()
+        mesh.run(2)
+        mesh.split({"n3"})
+        mesh.run(1.2)
+        assert node.state.membership.probes
+        for number in range(before - 20, before + 1):
+            ack = member_lib.Ack(
+                number=number, version=0, table_digest=0, updates=()
+            )
+            node.feed(
+                events.PeerMessage,
+                sender=fake_mesh.address("n0"),
+                message=ack,
+            )
+        assert node.state.membership.probes
+
     def test_dead_member_is_declared_dead_and_returns(self):
         mesh = fake_places.make_two_places(plain=4)
         mesh.run(6)
@@ -86,6 +141,24 @@
                 assert known.upstream is member_lib.UpstreamState.DRAINING
 
 
+class TestSurvey:
+    def test_late_answer_to_an_earlier_process_counts_for_nothing(self):
+        """Guard: `survey_number` in the handler of Started."""
+        mesh = fake_places.make_flat(3, 1)
+        for node in mesh.nodes.values():
+            node.start()
+        mesh.run(3)
+        node = mesh.nodes["n2"]
+        numbers = set()
+        for _ in range(2):
+            node.crash()
+            node.start()
+            mesh.run(3)
+            node.feed(survey.SurveyRequested, request_id=1)
+            assert not numbers & node.state.surveys.keys()
+            numbers |= node.state.surveys.keys()
+
+
 class TestTable:
     def test_count_by_data_centre_follows_the_records(self):
         """News is counted by it for each record, so it must be at hand."""
