Bound what bytes without end may take from others

The upstream was never held to be bad. Cause: the parser's cost goes by pieces, and no bound counted them; one read of 64 KB was parsed and passed on without a turn for other work. Change: 16 interim answers and 4 answers to other calls (1 MB each) are skipped, then the answer is broken; what has arrived of a body is one part; after 256 pieces of a message its reader rests, 1,000 pieces a second, for upstreams and for callers' bodies. Large pieces without end unchanged.

--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -17,6 +17,7 @@
 import h11
 
 from monsoonpass.core.distribution import host_route
+from monsoonpass.runtime import pieces
 
 RECEIVE_BYTES = 64 * 1024
 UNREAD_MAX_BYTES = 256 * 1024
@@ -85,6 +86,7 @@
         self._body_bytes = 0
         self._body_max_bytes = limits.body_max_bytes
         self._dropping = False
+        self._pieces = pieces.Pieces()
         self._pending: h11.Response | None = None
 
     async def run(self) -> None:
@@ -130,6 +132,7 @@
         self._body_ended = False
         self._body_bytes = 0
         self._body_max_bytes = self._server.limits().body_max_bytes
+        self._pieces.begin()
         self._pending = None
         if _declared_bytes(request) > self._body_max_bytes:
             await self._reject(413)
@@ -222,25 +225,20 @@
         of it ends unfinished, and the connection itself gives the answer.
         """
         while not self._body_ended and not self._body_is_too_long:
-            parts = []
+            if self._pieces.is_due:
+                await self._pieces.rest()
             try:
-                event = self._parse()
-                while isinstance(event, h11.Data):
-                    parts.append(bytes(event.data))
-                    self._body_bytes += len(event.data)
-                    event = self._parse()
+                body = self._next_part()
             except h11.RemoteProtocolError:
                 return {"type": "http.disconnect"}
             if self._body_is_too_long:
                 if self._on_gone is not None:
                     self._on_gone()
                 return {"type": "http.disconnect"}
-            if isinstance(event, h11.EndOfMessage):
-                self._body_ended = True
-            if parts or self._body_ended:
+            if body or self._body_ended:
                 return {
                     "type": "http.request",
-                    "body": b"".join(parts),
+                    "body": body,
                     "more_body": not self._body_ended,
                 }
             if self._gone.is_set():
@@ -253,6 +251,21 @@
             await self._gone.wait()
         return {"type": "http.disconnect"}
 
+    def _next_part(self) -> bytes:
+        """Return what has arrived of the body, and note whether it ends."""
+        parts = []
+        event = None
+        while event is None or isinstance(event, h11.Data):
+            if self._pieces.is_due:
+                break
+            event = self._parse()
+            self._pieces.count()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                self._body_bytes += len(event.data)
+        self._body_ended = isinstance(event, h11.EndOfMessage)
+        return b"".join(parts)
+
     async def _send(self, message: dict[str, Any]) -> None:
         """Send a part of the answer (ASGI)."""
         if message["type"] == "http.response.start":
@@ -281,12 +294,9 @@
         if self._body_ended:
             return
         try:
-            event = self._parse()
-            while isinstance(event, h11.Data):
-                event = self._parse()
+            self._next_part()
         except h11.RemoteProtocolError:
             return
-        self._body_ended = isinstance(event, h11.EndOfMessage)
 
     async def _write(self, data: bytes) -> None:
         with anyio.fail_after(SEND_TIMEOUT_S):
--- a/src/monsoonpass/runtime/upstream.py
+++ b/src/monsoonpass/runtime/upstream.py
@@ -10,6 +10,7 @@
 import h11
 
 from monsoonpass import errors
+from monsoonpass.runtime import pieces
 
 CONNECT_TIMEOUT_S = 0.5  # The upstream is on the same instance.
 IDLE_MAX_S = 4.0  # Below the five seconds that common HTTP servers keep one.
@@ -18,6 +19,10 @@
 NO_ID = (b"", b"")
 RECEIVE_BYTES = 64 * 1024
 HEAD_MAX_BYTES = 64 * 1024
+INTERIM_MAX = 16  # Informational answers to one call; servers send one or two.
+SKIPPED_MAX = 4  # Answers to other calls before that to one; late ones are few.
+SKIPPED_MAX_BYTES = 1024 * 1024  # Of each; a longer one costs a connection.
+PART_BYTES = 64 * 1024  # Of a body in small pieces, passed on as one.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,6 +46,7 @@
         self.number = number
         self._stream = stream
         self._is_tainted = False
+        self._pieces = pieces.Pieces()
         self._request: h11.Request | None = None
         self.idle_max_s = IDLE_MAX_S
         self._h11 = h11.Connection(
@@ -119,17 +125,25 @@
         Raises:
             UpstreamBrokenError: The answer broke off or is malformed.
         """
-        while True:
+        interim_count = 0
+        skipped_count = 0
+        while interim_count <= INTERIM_MAX and skipped_count <= SKIPPED_MAX:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple(event.headers)
                 if not _is_answer_to(call_id, headers):
+                    skipped_count += 1
                     await self._skip_answer()
                     continue
                 self._note_idle_limit(headers)
                 return Head(status=event.status_code, headers=headers)
+            interim_count += 1
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.UpstreamBrokenError("the answer has no head")
+        raise errors.UpstreamBrokenError(
+            f"{interim_count} informational answers and {skipped_count} to "
+            "other calls came instead of one"
+        )
 
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the answer's body; ending without an error means whole.
@@ -137,14 +151,28 @@
         Raises:
             UpstreamBrokenError: The answer broke off or is malformed.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise errors.UpstreamBrokenError("the answer broke off")
+        is_ended = False
+        while not is_ended:
+            part, is_ended = await self._next_part()
+            if part:
+                yield part
+
+    async def _next_part(self) -> tuple[bytes, bool]:
+        """Return what has arrived of the body, and whether that ends it."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            size_bytes += len(event.data)
+            if size_bytes >= PART_BYTES or self._pieces.is_due:
+                return b"".join(parts), False
+            event = self._parse()
+            if event is h11.NEED_DATA:
+                return b"".join(parts), False
+        if not isinstance(event, h11.EndOfMessage):
+            raise errors.UpstreamBrokenError("the answer broke off")
+        return b"".join(parts), True
 
     async def _skip_answer(self) -> None:
         """Drop an answer and make the parser ready for the next one.
@@ -153,8 +181,13 @@
             UpstreamBrokenError: Nothing can follow it.
         """
         self._is_tainted = True
-        async for _ in self.receive_body():
-            pass
+        size_bytes = 0
+        async for part in self.receive_body():
+            size_bytes += len(part)
+            if size_bytes > SKIPPED_MAX_BYTES:
+                raise errors.UpstreamBrokenError(
+                    "an answer is too long to skip"
+                )
         rest, is_closed = self._h11.trailing_data
         if is_closed or self._h11.our_state is not h11.DONE:
             raise errors.UpstreamBrokenError("the answer is to another call")
@@ -192,6 +225,7 @@
             h11.SERVER: h11.DONE,
         }:
             self._h11.start_next_cycle()
+        self._pieces.begin()
         self.idle_since_s = now_s
 
     async def aclose(self) -> None:
@@ -199,6 +233,7 @@
         await anyio.aclose_forcefully(self._stream)
 
     def _parse(self) -> object:
+        self._pieces.count()
         try:
             return self._h11.next_event()
         except h11.RemoteProtocolError as error:
@@ -206,6 +241,8 @@
 
     async def _next_event(self) -> object:
         while True:
+            if self._pieces.is_due:
+                await self._pieces.rest()
             event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
--- a/src/monsoonpass/standin/server.py
+++ b/src/monsoonpass/standin/server.py
@@ -2,7 +2,8 @@
 
 The request's query says how it behaves: `ms` is the service time, `bytes` the
 length of the answer, `id` names the run for counting, and `fault` is one of
-"truncate", "reset", "overlong" and "stall".
+"truncate", "reset", "overlong" and "stall", or "interim", "chunks" and "flood"
+for bytes that end only when the caller closes.
 """
 
 import collections
@@ -18,6 +19,14 @@
 
 RECEIVE_BYTES = 64 * 1024
 PATTERN = bytes(range(256)) * 64
+ENDLESS = {
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 1000,
+    ),
+    "flood": (b"HTTP/1.1 200 OK\r\n\r\n", PATTERN),
+}
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -229,6 +238,11 @@
         return False
     if fault == "stall":
         await anyio.sleep_forever()
+    if fault in ENDLESS:
+        start, piece = ENDLESS[fault]
+        await stream.send(start)
+        while True:
+            await stream.send(piece)
     head = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n"
     if fault == "truncate":
         await stream.send(head + b"x" * 40)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -108,6 +108,21 @@
 
         run_mesh(tmp_path, places, play)
 
+    def test_endless_interim_answers_are_a_failure_before_the_deadline(
+        self, tmp_path, places
+    ):
+        """Guard: `INTERIM_MAX` in runtime/upstream."""
+
+        async def play(mesh):
+            response = await call(
+                mesh, mesh.nodes[0], "/payments?fault=interim", "POST"
+            )
+            assert response.status_code == 502
+            assert response.json()["reason"] == "upstream-broke-off"
+            assert response.json()["outcome"] == "unknown"
+
+        run_mesh(tmp_path, places, play)
+
     @pytest.mark.parametrize("fault", ["truncate", "reset", "overlong"])
     def test_broken_payment_is_a_failure_and_runs_once(
         self, tmp_path, places, fault
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,9 +1,11 @@
 """Tests of the server for callers, over real sockets on loopback."""
 
 import anyio
+import anyio.lowlevel
 
 from monsoonpass.core.distribution import host_route
 from monsoonpass.runtime import http_server
+from monsoonpass.runtime import pieces
 from monsoonpass.standin import local_mesh
 
 LIMITS = host_route.Limits(
@@ -264,6 +266,46 @@
 
         play(app, script)
 
+    def test_body_in_small_pieces_lets_others_run(self):
+        """Guard: `rest` in Connection._receive."""
+        size = 8 * pieces.PIECES_AT_ONCE
+        turns = []
+
+        async def app(scope, receive, send):
+            await anyio.sleep(0.1)
+            async with anyio.create_task_group() as group:
+
+                async def count_turns():
+                    while True:
+                        turns.append(1)
+                        await anyio.lowlevel.checkpoint()
+
+                group.start_soon(count_turns)
+                await anyio.lowlevel.checkpoint()
+                turns.clear()
+                body = b""
+                more = True
+                while more:
+                    event = await receive()
+                    body += event["body"]
+                    more = event["more_body"]
+                group.cancel_scope.cancel()
+            await answer(send, body)
+
+        async def script(scene):
+            async with await scene.open() as stream:
+                await stream.send(
+                    b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
+                    b"transfer-encoding: chunked\r\n\r\n"
+                    + b"1\r\nx\r\n" * size
+                    + b"0\r\n\r\n"
+                )
+                data = await receive_until(stream, b"x" * size)
+            assert data.startswith(b"HTTP/1.1 200")
+            assert len(turns) >= 4
+
+        play(app, script)
+
     def test_body_that_grows_too_long_is_refused(self):
         """Guard: the count in Connection._receive."""
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,9 +1,11 @@
 """Tests of connections to the own upstream that misbehaves."""
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from monsoonpass import errors
+from monsoonpass.runtime import pieces
 from monsoonpass.runtime import upstream
 from monsoonpass.standin import local_mesh
 
@@ -109,6 +111,93 @@
         play([whole("7", "once"), whole("7", "again")], script)
 
 
+class TestEndless:
+    """Bytes that end only when the node closes the connection."""
+
+    INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+    def receive(self, data: bytes) -> bytes | None:
+        """Return the body of the answer to a call, None if it is broken."""
+        bodies = []
+
+        async def script(pool):
+            try:
+                bodies.append((await exchange(pool))[1])
+            except errors.UpstreamBrokenError:
+                bodies.append(None)
+
+        play([data], script)
+        return bodies[0]
+
+    def test_interim_answers_are_skipped_up_to_a_bound(self):
+        """Guard: `interim_count` in receive_head."""
+        mine = whole("7", "mine")
+        usual = self.INTERIM * upstream.INTERIM_MAX
+        assert self.receive(usual + mine) == b"mine"
+        assert self.receive(usual + self.INTERIM + mine) is None
+
+    def test_answers_to_other_calls_are_skipped_up_to_a_bound(self):
+        """Guard: `skipped_count` in receive_head."""
+        other, mine = whole("6", "another's"), whole("7", "mine")
+        usual = other * upstream.SKIPPED_MAX
+        assert self.receive(usual + mine) == b"mine"
+        assert self.receive(usual + other + mine) is None
+
+    def test_answer_to_another_call_is_skipped_up_to_a_length(self):
+        """Guard: `SKIPPED_MAX_BYTES` in _skip_answer."""
+        mine = whole("7", "mine")
+        most = upstream.SKIPPED_MAX_BYTES
+        assert self.receive(whole("6", "x" * most) + mine) == b"mine"
+        assert self.receive(whole("6", "x" * (most + 1)) + mine) is None
+
+    def test_many_short_answers_never_rest(self, monkeypatch):
+        """Guard: `begin` in Connection.finish."""
+
+        async def rest(counter):
+            raise AssertionError("a short answer waited")
+
+        monkeypatch.setattr(pieces.Pieces, "rest", rest)
+        count = pieces.PIECES_AT_ONCE
+
+        async def script(pool):
+            for _ in range(count):
+                connection, _ = await exchange(pool)
+                await pool.release(connection, 0.0, reuse=True)
+
+        play([whole("7", "mine")] * count, script)
+
+    def test_small_pieces_are_passed_on_as_one_and_let_others_run(self):
+        """Guard: the loop in _next_part, and `rest` in _next_event."""
+        size = 4 * pieces.PIECES_AT_ONCE
+        head = b"HTTP/1.1 200 OK\r\ncall: 7\r\ntransfer-encoding: chunked"
+        body = b"1\r\nx\r\n" * size + b"0\r\n\r\n"
+        turns = 0
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await anyio.lowlevel.checkpoint()
+
+        async def script(pool):
+            nonlocal turns
+            connection = await pool.acquire(0.0)
+            await connection.send_head("GET", b"/", HEADERS, ended=True)
+            await anyio.sleep(0.1)
+            await connection.receive_head(ID)
+            async with anyio.create_task_group() as group:
+                group.start_soon(count_turns)
+                await anyio.lowlevel.checkpoint()
+                turns = 0
+                parts = [part async for part in connection.receive_body()]
+                group.cancel_scope.cancel()
+            assert b"".join(parts) == b"x" * size
+            assert len(parts) <= 8
+            assert turns >= 3
+
+        play([head + b"\r\n\r\n" + body], script)
+
+
 class TestNextProcess:
     """Another process has taken the upstream's place."""
 
