Do not take a peer for lost that has dialled meanwhile

What callers saw: calls kept away from a node for 2 s after its restart. A node that starts refuses connections until it opens its own; the dial that failed then told the reducer that the peer is lost, though its link was there. The test fails before.

--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -181,6 +181,9 @@
                 await anyio.aclose_forcefully(stream)
             # A peer that is down must not be dialled in a tight loop.
             await anyio.sleep(random.uniform(0, RECONNECT_JITTER_S))
+            if to.instance in self.links:
+                # The peer has dialled meanwhile and got what waited.
+                return
             self._backlog.pop(to.instance, None)
             self._engine.feed(events.LinkLost, instance=to.instance)
             if self._link_gone is not None:
