Judge an instance anew that takes work again

What callers saw: after each restart of a node, others left it out for up to 2 s (lost links), or for longer by failures of the process before, while callers were refused. Change: news that an instance takes work, which it did not before, forgets its failures, ejection and load.

--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -175,6 +175,22 @@
             period_s = min(EJECT_S * 2**peer.ejections, EJECT_MAX_S)
             peer.ejected_until_s = now_s + period_s
 
+    def offered_anew(self, instance: str) -> None:
+        """Judge an instance anew that takes work again.
+
+        What was seen of it before is of another process, or of a time that is
+        over by its own word.
+        """
+        peer = self.peers.get(instance)
+        if peer is None:
+            return
+        peer.failures = 0
+        peer.ejections = 0
+        peer.ejected_until_s = -math.inf
+        peer.load = None
+        peer.load_s = -math.inf
+        peer.sent_since = 0
+
     def unreachable(self, instance: str, now_s: float) -> None:
         """Eject an instance whose node cannot be reached, for a moment."""
         peer = self.peer(instance)
--- a/src/monsoonpass/core/membership/gossip.py
+++ b/src/monsoonpass/core/membership/gossip.py
@@ -93,6 +93,8 @@
         if known is not None and not update.supersedes(known):
             continue
         table.put(update, event.now_s)
+        if update.takes_work and not (known and known.takes_work):
+            state.routing.offered_anew(update.instance)
         result += _spread(state, update)
         result += _log_change(known, update)
         if update.state is member_lib.MemberState.SUSPECT:
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -71,6 +71,11 @@
         """Whether the node is alive or merely suspected."""
         return self.state <= MemberState.SUSPECT
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether its upstream may be given new work."""
+        return self.is_present and self.upstream.takes_work
+
     def supersedes(self, other: "Member") -> bool:
         """Return whether this record is newer than another of the node."""
         return (self.incarnation, self.state) > (
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,6 +25,7 @@
         )
         node.settings = dataclasses.replace(node.settings, region="a")
         node.start()
+        self.node = node
         self.state = node.state
         self.event = events.Event(now_s=self.mesh.now_s, entropy=5)
         for name, (data_centre, busy) in places.items():
@@ -97,6 +98,50 @@
         assert chosen is not None
 
 
+class TestOfferedAnew:
+    """An instance takes work again: another process, or a sound upstream."""
+
+    def tell(self, scene, incarnation, **changes) -> None:
+        """Let news of an instance arrive."""
+        known = scene.state.membership.table.get("x")
+        update = dataclasses.replace(known, incarnation=incarnation, **changes)
+        scene.node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.address("x"),
+            message=member_lib.Rumour(updates=(update,)),
+        )
+
+    @pytest.mark.parametrize(
+        "before",
+        [
+            {"upstream": member_lib.UpstreamState.NONE},
+            {"upstream": member_lib.UpstreamState.DRAINING},
+            {"state": member_lib.MemberState.LEFT},
+        ],
+    )
+    def test_failures_of_before_are_not_held_against_it(self, before):
+        """Guard: `offered_anew` in gossip.merge."""
+        scene = Scene(x=("a1", 0), y=("a1", 0), z=("a1", 0))
+        table = scene.state.routing
+        table.unreachable("x", scene.mesh.now_s)
+        peer = table.peer("x")
+        peer.failures = 2
+        self.tell(scene, 2, **before)
+        assert peer.ejected_until_s > scene.mesh.now_s
+        ready = member_lib.UpstreamState.READY
+        alive = member_lib.MemberState.ALIVE
+        self.tell(scene, 3, upstream=ready, state=alive)
+        assert peer.ejected_until_s <= scene.mesh.now_s
+        assert peer.failures == 0
+
+    def test_news_of_one_that_is_offered_still_changes_nothing(self):
+        scene = Scene(x=("a1", 0), y=("a1", 0), z=("a1", 0))
+        scene.state.routing.unreachable("x", scene.mesh.now_s)
+        self.tell(scene, 2, slots=5)
+        peer = scene.state.routing.peer("x")
+        assert peer.ejected_until_s > scene.mesh.now_s
+
+
 class TestReturns:
     def test_refused_callers_are_told_different_times(self):
         """Guard: the draw in returns.with_time."""
