Acknowledge announcements while the node stops

What callers saw: after a planned restart of a node its upstream was not used for up to a second or two. A node that stops answered each announcement with 409, so the upstream backed off, and the next process heard it late. Change: an announcement of the known start is acknowledged and noted; the upstream is offered no more.

--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -38,22 +38,21 @@
 def _(
     event: events.UpstreamAnnounced, state: node.Node
 ) -> list[effects.Effect]:
-    known = state.upstream
-    order = known.order(event)
-    taken = event.draining or not (
-        state.stopping
-        or order is upstream_lib.Order.OLD
-        or _is_bound(state, event)
-    )
+    order = state.upstream.order(event)
+    taken = event.draining or _is_news(state, event, order)
     if event.draining:
         result = _take_draining(state, event, order)
-    elif taken:
+    elif not taken:
+        result = [offer.log(logbook.Code.ANNOUNCEMENT_IGNORED, event)]
+    elif state.stopping:
+        # The next process will be told; until then it is offered no more.
+        result = _adopt(state, event, order)
+    else:
         cause = Cause.ANNOUNCED
         if _must_wait(state, event):
             cause = Cause.ANNOUNCED_EARLY
-        result = _adopt(state, event, order) + offer.change(state, event, cause)
-    else:
-        result = [offer.log(logbook.Code.ANNOUNCEMENT_IGNORED, event)]
+        result = _adopt(state, event, order)
+        result += offer.change(state, event, cause)
     if event.request_id:
         reply = effects.Reply(
             request_id=event.request_id, result=Announced(taken=taken)
@@ -238,6 +237,22 @@
     return event.now_s - state.started_s < offer.JOIN_WAIT_S
 
 
+def _is_news(
+    state: node.Node,
+    event: events.UpstreamAnnounced,
+    order: upstream_lib.Order,
+) -> bool:
+    """Return whether an upstream that says it is ready is to be believed.
+
+    A node that stops takes over none that it does not know yet.
+    """
+    if _is_bound(state, event):
+        return False
+    if state.stopping:
+        return order is upstream_lib.Order.NEWS
+    return order is not upstream_lib.Order.OLD
+
+
 def _is_bound(state: node.Node, event: events.UpstreamAnnounced) -> bool:
     """Return whether the start that announces itself has given notice."""
     now_ms = state.wall_ms(event.now_s)
