Tell members of a notice once

An upstream that drains repeats that with each announcement; since the phases came, each one made the node's record news for all members again. Two notices are equal now if they bind the same starts, and an equal one is not told again. The test fails before. The handler of the notice is shorter: a name that is left out is that of the known upstream.

--- a/src/monsoonpass/core/membership/notice.py
+++ b/src/monsoonpass/core/membership/notice.py
@@ -21,6 +21,8 @@
 class Notice:
     """What the notices of leaving under one name have told.
 
+    Two are equal if they bind the same starts that tell when they began.
+
     Attributes:
         name: Name of the upstream.
         taken_ms: When the last one came, by the wall clock of its node.
@@ -29,7 +31,7 @@
     """
 
     name: str
-    taken_ms: int
+    taken_ms: int = dataclasses.field(compare=False)
     born_ms: int | None = None
     open_ms: int | None = None
 
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -65,18 +65,15 @@
 def _(event: events.UpstreamDraining, state: node.Node) -> list[effects.Effect]:
     log = _log_notice(state, event)
     known = state.upstream
-    is_known = event.upstream_id in ("", known.name)
-    if known.announced is None or not is_known:
-        if not event.upstream_id:
-            return [log]
-        return [log, *_take_notice(state, event, _notice(state, event))]
-    if not known.name:
-        return [log, *offer.change(state, event, Cause.LEAVES)]
-    # Its sender is the known start, or one that has taken its place.
-    born_ms = known.born_ms if event.born_ms is None else event.born_ms
-    notice = dataclasses.replace(
-        _notice(state, event), name=known.name, born_ms=born_ms
-    )
+    name = event.upstream_id or known.name
+    if not name:
+        return [log, *drain(state, event)]
+    born_ms = event.born_ms
+    if born_ms is None and name == known.name:
+        # Its sender is the known start, or one that has taken its place.
+        born_ms = known.born_ms
+    notice = _notice(state, event)
+    notice = dataclasses.replace(notice, name=name, born_ms=born_ms)
     return [log, *_take_notice(state, event, notice)]
 
 
@@ -118,12 +115,15 @@
 ) -> list[effects.Effect]:
     """Keep a notice, tell the members and drain the upstream if it binds it."""
     known = state.upstream
+    before = known.notices.get(notice.name)
     known.notices.add([notice])
     notice = known.notices.get(notice.name)
     leaves = known.name == notice.name and known.leaves(
         state.wall_ms(event.now_s)
     )
     told = offer.change(state, event, Cause.LEAVES, notice) if leaves else []
+    if not told and notice == before:
+        return []
     if not told:
         told = [
             *gossip.change_own(state, event, leaving=notice),
@@ -172,7 +172,7 @@
 
 
 def drain(state: node.Node, event: events.Event) -> list[effects.Effect]:
-    """Stop giving the own upstream new work since the node stops."""
+    """Stop giving the own upstream new work, whichever it is."""
     if state.upstream.phase is Phase.ABSENT:
         return []
     return offer.change(state, event, Cause.LEAVES)
--- a/tests/test_notice.py
+++ b/tests/test_notice.py
@@ -1,5 +1,6 @@
 """Tests of notices of leaving whose start may be missing on either side."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -59,7 +60,8 @@
             make(born=900, is_open=False, taken=TAKEN_MS - 7),
         ]
         for one, other in itertools.product(notices, repeat=2):
-            assert one.merged(other) == other.merged(one)
+            merged = dataclasses.astuple(one.merged(other))
+            assert merged == dataclasses.astuple(other.merged(one))
 
     def test_merged_notice_binds_what_either_binds(self):
         told = make(born=500, is_open=False, taken=TAKEN_MS + 10)
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -242,6 +242,16 @@
         assert not scene.announce(sequence=7)
         assert not scene.state.admission.accepts
 
+    def test_draining_that_is_repeated_is_told_to_the_members_once(self):
+        """Guard: `notice == before` in own_upstream._take_notice."""
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.announce(sequence=2, draining=True)
+        told = scene.state.membership.own
+        scene.mesh.run(1)
+        assert scene.announce(sequence=3, draining=True)
+        assert scene.state.membership.own == told
+
     def test_notice_without_a_name_binds_the_known_start(self):
         scene = Scene()
         scene.announce(sequence=1)
