Write the log to the standard output by default

What an operator saw: the first node of the README wrote not one line. The file was empty by default; now it is the standard output, as on the users' platform, and an empty log_file turns it off.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -35,7 +35,18 @@
         voters: Sequence[str],
         folder: pathlib.Path,
         extra_settings: str = "",
+        keeps_output: bool = False,
     ):
+        """Prepare the daemons.
+
+        Args:
+            places: The instances.
+            voters: Instances that form the control group.
+            folder: For settings and data.
+            extra_settings: Added to each settings file.
+            keeps_output: Whether the daemons' output can be read.
+        """
+        self._output = subprocess.PIPE if keeps_output else subprocess.DEVNULL
         self._mesh = local_mesh.LocalMesh(
             places=places,
             voters=voters,
@@ -68,7 +79,7 @@
         path.write_text(node.settings_text, encoding="utf-8")
         self.processes[node.name] = subprocess.Popen(
             [sys.executable, "-m", "monsoonpass.cli", "--settings", str(path)],
-            stdout=subprocess.DEVNULL,
+            stdout=self._output,
             stderr=subprocess.DEVNULL,
         )
 
--- a/src/monsoonpass/border/settings_sections.py
+++ b/src/monsoonpass/border/settings_sections.py
@@ -232,8 +232,11 @@
 
 
 class TelemetrySection(Section):
-    """[telemetry]: logs and traces; empty names write nothing."""
+    """[telemetry]: logs and traces.
 
-    log_file: str = ""
+    "-" stands for the standard output; empty names write nothing.
+    """
+
+    log_file: str = "-"
     trace_file: str = ""
     trace_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.01
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Tests of real daemons under kills, freezes and lost disks."""
 
+import json
 import shutil
 import signal
 import time
@@ -50,6 +51,32 @@
         yield fleet
 
 
+class TestLog:
+    """A single node, as in the README."""
+
+    @pytest.mark.parametrize(
+        ("setting", "writes"),
+        [("", True), ("[telemetry]\nlog_file =\n", False)],
+    )
+    def test_events_go_to_the_standard_output_by_default(
+        self, tmp_path, setting, writes
+    ):
+        """Guard: the default of `log_file` in settings_sections."""
+        place = local_mesh.Place(instance="n0")
+        with fleet_lib.Fleet(
+            places=[place],
+            voters=["n0"],
+            folder=tmp_path,
+            extra_settings=setting,
+            keeps_output=True,
+        ) as fleet:
+            fleet.processes["n0"].send_signal(signal.SIGTERM)
+            output, _ = fleet.processes["n0"].communicate(timeout=30)
+        events = [json.loads(line)["event"] for line in output.splitlines()]
+        assert ("node_started" in events) == writes
+        assert bool(events) == writes
+
+
 class TestFailures:
     def test_killed_leader(self, fleet):
         leader = find_leader(fleet)
