Refuse at once what a stopping node cannot finish

Cause: the deadline of each call was clipped to the end of the stop and the call admitted however little was left. Calls that were older than the stop kept their deadline beyond it and were cut without any answer, and the process ended while answers that had just been made were still being sent.

At the end all calls get their true answer, peers 0.1 s to hear of it, and the HTTP servers finish the open requests before the process ends.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.calls import queue_pace
 from monsoonpass.core.calls import service_times
 from monsoonpass.core.calls import slots as slots_lib
+from monsoonpass.core.calls import stop_fit
 from monsoonpass.core.membership import member as member_lib
 
 RATE_WINDOW_S = 0.5  # Window in which arrivals of short calls are counted.
@@ -39,6 +40,7 @@
         upstream: State of the upstream, from its announcements.
         in_progress: Calls that hold a slot, by owner call id.
         queue_limit: Number of calls that may be queued.
+        end_s: When a stopping node gives up all calls; infinite before a stop.
     """
 
     def __init__(self, *, queue_limit: int = 256):
@@ -47,6 +49,7 @@
         self.upstream = member_lib.UpstreamState.NONE
         self.in_progress: dict[int, owner_call_lib.OwnerCall] = {}
         self.queue_limit = queue_limit
+        self.end_s = math.inf
         self._queue: list[
             tuple[tuple[int, float, int], owner_call_lib.OwnerCall]
         ] = []
@@ -150,6 +153,11 @@
                 reason = outcome.Reason.NO_UPSTREAM
             decision.refused.append(_make_refusal(call, reason, None))
             return decision
+        if now_s > self._latest_start_s(call):
+            decision.refused.append(
+                _make_refusal(call, outcome.Reason.DRAINING, None)
+            )
+            return decision
         self._count_arrival(call, now_s)
         call.queued_ahead = sum(
             item.route == call.route for _, item in self._queue
@@ -256,7 +264,11 @@
         """Return the earliest time at which a queued call becomes too late."""
         return min(
             (
-                call.useful_until_s - self.expected_service_time_s(call.route)
+                min(
+                    self._latest_start_s(call),
+                    call.useful_until_s
+                    - self.expected_service_time_s(call.route),
+                )
                 for _, call in self._queue
                 if not call.is_probe
             ),
@@ -290,6 +302,16 @@
         """Return the expected service time of a route, in seconds."""
         return self._times.expected_s(route)
 
+    def _latest_start_s(self, call: owner_call_lib.OwnerCall) -> float:
+        """Return the latest time for a call to get a slot before the stop."""
+        return stop_fit.latest_start_s(
+            self.end_s,
+            deadline_s=call.deadline_s,
+            usual_s=self.expected_service_time_s(call.route),
+            objective_s=min(call.objective_deadline_s, call.deadline_s)
+            - call.arrived_s,
+        )
+
     def is_long(self, call: owner_call_lib.OwnerCall) -> bool:
         """Return whether a call belongs to the long class."""
         return self._times.is_long(call.route, default=call.bulk)
@@ -359,6 +381,11 @@
         kept = []
         for item in self._queue:
             call = item[1]
+            if now_s > self._latest_start_s(call):
+                decision.refused.append(
+                    _make_refusal(call, outcome.Reason.DRAINING, None)
+                )
+                continue
             is_late = (
                 now_s + self.expected_service_time_s(call.route)
                 > call.useful_until_s
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.calls import retry_after
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import routing
+from monsoonpass.core.calls import stop_fit
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import directory
 
@@ -181,6 +182,11 @@
     Returns:
         Effects.
     """
+    if not fits_before_stop(state, event, call):
+        refusal = call_lib.not_run_failure(Reason.DRAINING, None)
+        return fail_call(
+            state, event, call.call_id, final_failure(call, refusal)
+        )
     objective_s = call.objective_deadline_s - event.now_s
     choice = routing.choose(state, event, call.service, call.tried, objective_s)
     if (
@@ -436,6 +442,59 @@
     return result
 
 
+def fits_before_stop(
+    state: node.Node, event: events.Event, call: call_lib.Call
+) -> bool:
+    """Return whether a new attempt of a call can end before a planned stop."""
+    if not state.stopping:
+        return True
+    latest_start_s = stop_fit.latest_start_s(
+        state.stop_deadline_s,
+        deadline_s=call.deadline_s,
+        usual_s=state.routing.median(call.statistics_key).value_s,
+        objective_s=call.route.objective_s,
+        body_bytes=call.body_rest_bytes,
+    )
+    return event.now_s <= latest_start_s
+
+
+def give_up_all(state: node.Node, event: events.Event) -> list[effects.Effect]:
+    """End all calls at this node, at the end of a planned stop."""
+    result: list[effects.Effect] = []
+    for call in list(state.calls.values()):
+        result += give_up(state, event, call, Reason.DRAINING)
+    decision = state.admission.refuse_all(Reason.DRAINING)
+    result += apply_decision(state, event, decision)
+    result += [
+        effects.AbortDispatch(owner_call_id=owner_call_id)
+        for owner_call_id in state.admission.in_progress
+    ]
+    return result
+
+
+def give_up(
+    state: node.Node,
+    event: events.Event,
+    call: call_lib.Call,
+    reason: outcome.Reason,
+) -> list[effects.Effect]:
+    """End a call whose attempts may still run, with a truthful failure."""
+    for number in list(call.attempts):
+        instance = call.attempts[number].instance
+        call.tried.add(instance)
+        is_own = instance == state.settings.address.instance
+        if is_own and state.admission.withdraw(call.call_id):
+            del call.attempts[number]
+    may_have_run = call.may_have_run or bool(call.attempts)
+    failure = outcome.Failure(
+        outcome=outcome.Outcome.UNKNOWN if may_have_run else call_lib.NOT_RUN,
+        reason=reason,
+        retry_after_s=RETRY_AFTER_S,
+    )
+    cancels = cancel_others(state, event, call, 0)
+    return [*cancels, *fail_call(state, event, call.call_id, failure)]
+
+
 def _arm_queue_deadline(
     state: node.Node, event: events.Event
 ) -> list[effects.Effect]:
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -45,6 +45,8 @@
         hedged: Whether a hedge was sent.
         upstreams_reached: Count of ended attempts that may have reached an
             upstream.
+        body_rest_bytes: Length of the part of the request body that had not
+            arrived with the call.
     """
 
     call_id: int
@@ -61,6 +63,7 @@
     may_have_run: bool = False
     hedged: bool = False
     upstreams_reached: int = 0
+    body_rest_bytes: int = 0
 
     @property
     def may_try_another_upstream(self) -> bool:
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -47,8 +47,6 @@
     timeout_s = route.deadline_s
     if event.timeout_s is not None:
         timeout_s = min(timeout_s, event.timeout_s)
-    if state.stopping:
-        timeout_s = min(timeout_s, state.stop_deadline_s - event.now_s)
     service = weighted_round_robin.pick_service(
         state.routing.round_robin, match, event.random_bits
     )
@@ -60,7 +58,11 @@
         arrived_s=event.now_s,
         deadline_s=event.now_s + timeout_s,
         objective_deadline_s=event.now_s + route.objective_s,
+        body_rest_bytes=event.body_rest_bytes,
     )
+    if not attempts.fits_before_stop(state, event, call):
+        refusal = call_lib.not_run_failure(Reason.DRAINING, None)
+        return attempts.fail_call(state, event, event.call_id, refusal)
     state.calls[event.call_id] = call
     retry_budget.for_service(state, service).deposit()
     timer = timers.CallDeadline(call_id=event.call_id)
@@ -234,13 +236,10 @@
 
 @step.step.register
 def _(event: events.PeerCallArrived, state: node.Node) -> list[effects.Effect]:
-    deadline_s = event.now_s + event.timeout_s
-    if state.stopping:
-        deadline_s = min(deadline_s, state.stop_deadline_s)
     call = owner_call_lib.OwnerCall(
         owner_call_id=event.owner_call_id,
         priority=event.priority,
-        deadline_s=deadline_s,
+        deadline_s=event.now_s + event.timeout_s,
         bulk=event.bulk,
         route=event.route,
         arrived_s=event.now_s,
@@ -282,22 +281,11 @@
     call = state.calls.get(timer.call_id)
     if call is None:
         return []
-    for number in list(call.attempts):
-        instance = call.attempts[number].instance
-        call.tried.add(instance)
-        if instance == state.settings.address.instance:
-            if state.admission.withdraw(call.call_id):
-                del call.attempts[number]
-        else:
-            state.routing.record_failure(instance, event.now_s)
-    may_have_run = call.may_have_run or bool(call.attempts)
-    failure = outcome.Failure(
-        outcome=outcome.Outcome.UNKNOWN if may_have_run else call_lib.NOT_RUN,
-        reason=Reason.DEADLINE,
-        retry_after_s=attempts.RETRY_AFTER_S,
-    )
-    cancels = attempts.cancel_others(state, event, call, 0)
-    return [*cancels, *attempts.fail_call(state, event, call.call_id, failure)]
+    own = state.settings.address.instance
+    for attempt in call.attempts.values():
+        if attempt.instance != own:
+            state.routing.record_failure(attempt.instance, event.now_s)
+    return attempts.give_up(state, event, call, Reason.DEADLINE)
 
 
 def _refusal_at_arrival(state: node.Node) -> outcome.Reason | None:
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -159,6 +159,8 @@
         timeout_s: Timeout that the caller set, or None.
         key: Idempotency key, or None.
         fingerprint: Digest of the request; only used with a key.
+        body_rest_bytes: Declared length of the part of the request body that
+            has not arrived yet.
     """
 
     call_id: int
@@ -168,6 +170,7 @@
     timeout_s: float | None
     key: str | None
     fingerprint: bytes = b""
+    body_rest_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -29,6 +29,8 @@
 assert _survey  # Imported for its registrations.
 
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Time for peers to receive the failures of calls that a stop has given up.
+GIVE_UP_FLUSH_S = 0.1
 PEER_DRAIN_LEAD_S = 1.0  # Time for calls that peers have already sent.
 
 step = step_lib.step
@@ -81,6 +83,7 @@
     state.stopping = True
     state.stop_deadline_s = event.now_s + state.settings.drain_limit_s
     state.earliest_stop_s = event.now_s + state.settings.stop_after_s
+    state.admission.end_s = state.stop_deadline_s
     return [
         effects.Log(code=log_events.Code.NODE_STOPPING),
         *_start_draining(state, event),
@@ -123,8 +126,12 @@
     idle = state.admission.is_idle and not state.calls
     idle = idle and not state.keyed_calls
     idle = idle and event.now_s >= state.earliest_stop_s
-    if not idle and event.now_s < state.stop_deadline_s:
-        return [effects.SetTimer(timer=timer, delay_s=DRAIN_CHECK_INTERVAL_S)]
+    if not idle and event.now_s < state.stop_deadline_s + GIVE_UP_FLUSH_S:
+        is_over = event.now_s >= state.stop_deadline_s
+        return [
+            *(attempts.give_up_all(state, event) if is_over else []),
+            effects.SetTimer(timer=timer, delay_s=DRAIN_CHECK_INTERVAL_S),
+        ]
     return [
         *gossip.update_own_record(
             state, event, state=member_lib.MemberState.LEFT
--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -264,6 +264,7 @@
             timeout_s=caller_http.timeout_s(headers, self._header_names),
             key=key,
             fingerprint=fingerprint,
+            body_rest_bytes=caller_http.body_rest_bytes(headers, exchange),
         )
 
     def _register_local_call(self, exchange: exchange_lib.Exchange) -> None:
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -80,6 +80,21 @@
     return b"".join(parts), ended
 
 
+def body_rest_bytes(
+    headers: dict[bytes, bytes], exchange: exchange_lib.Exchange
+) -> int:
+    """Return the length of the request body after its received start.
+
+    A body without a declared length counts as long as one that is kept.
+    """
+    if exchange.body_complete:
+        return 0
+    declared = headers.get(b"content-length", b"")
+    if not declared.isdigit():
+        return BUFFERED_BODY_MAX_BYTES
+    return max(int(declared) - len(exchange.body_start), 0)
+
+
 async def cancel_on_disconnect(
     receive: Receive, scope: anyio.CancelScope
 ) -> None:
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -39,6 +39,8 @@
 # reuse a number.
 NUMBER_BITS_PER_INCARNATION = 20
 HTTP2_STOP_GRACE_S = 2.0
+# Well below `settings.KILL_MARGIN_S`, which the whole end must fit into.
+FINISH_REQUESTS_LIMIT_S = 0.4
 
 
 class Daemon:
@@ -69,6 +71,7 @@
         self.started = anyio.Event()
         self._stopped = anyio.Event()
         self._http2_stop = anyio.Event()
+        self._servers: list[http_server.Server] = []
         self._logger = event_log.Logger(instance=name)
         self._metrics = metrics.Metrics()
         self._traffic = peer_traffic.PeerTraffic(
@@ -101,6 +104,7 @@
             self.started.set()
             try:
                 await self._stopped.wait()
+                await self._finish_requests()
             finally:
                 self._http2_stop.set()
                 group.cancel_scope.cancel()
@@ -117,6 +121,12 @@
         """
         self.engine.feed(events.StopRequested)
 
+    async def _finish_requests(self) -> None:
+        """Let callers receive the answers of calls that have just ended."""
+        with anyio.move_on_after(FINISH_REQUESTS_LIMIT_S):
+            for server in self._servers:
+                await server.finish()
+
     def apply_settings(self, settings: settings_lib.Settings) -> None:
         """Apply the settings that may change while the process runs.
 
@@ -267,6 +277,7 @@
             limits=lambda: state.config.catalog.limits,
             is_closing=lambda: state.stopping,
         )
+        self._servers.append(server)
         await server.serve(listen.host, listen.port)
 
     async def _serve_http2(
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import socket
 import struct
 from typing import Any
@@ -55,13 +57,40 @@
         self.app = app
         self.limits = limits
         self.is_closing = is_closing
+        self._accepting = anyio.CancelScope()
+        self._listener_closed = anyio.Event()
+        self._open_requests = 0
+        self._requests_ended = anyio.Event()
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=BACKLOG
         )
-        await listener.serve(self._accept)
+        async with anyio.create_task_group() as group:
+            async with listener:
+                with self._accepting:
+                    await listener.serve(self._accept, group)
+            self._listener_closed.set()
+
+    async def finish(self) -> None:
+        """Accept no more connections, and wait until no request is open."""
+        self._accepting.cancel()
+        await self._listener_closed.wait()
+        while self._open_requests:
+            self._requests_ended = anyio.Event()
+            await self._requests_ended.wait()
+
+    @contextlib.contextmanager
+    def open_request(self) -> Iterator[None]:
+        """Count a request as open until the caller has its answer."""
+        self._open_requests += 1
+        try:
+            yield
+        finally:
+            self._open_requests -= 1
+            if not self._open_requests:
+                self._requests_ended.set()
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
         try:
@@ -140,6 +169,11 @@
         request = await self._next_request()
         if request is None:
             return False
+        with self._server.open_request():
+            return await self._answer(request)
+
+    async def _answer(self, request: h11.Request) -> bool:
+        """Answer one request; return whether another may follow."""
         self._body_ended = False
         self._body_bytes = 0
         self._body_max_bytes = self._server.limits().body_max_bytes
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -411,3 +411,34 @@
         decision = controller.offer(make_call(9, objective_deadline_s=0.3), 0.0)
         retry_after_s = decision.refused[0].failure.retry_after_s
         assert 0.15 <= retry_after_s <= 0.3
+
+
+class TestStop:
+    def test_queued_call_is_refused_once_it_no_longer_fits_before_the_end(self):
+        """Guard: `_latest_start_s` in Admission._refuse_late."""
+        controller = make_admission(slots=1)
+        train(controller, "short", 0.1)
+        controller.offer(make_call(1), 0.0)
+        controller.offer(make_call(2), 0.0)
+        controller.end_s = 5.0
+        assert controller.next_expiry_at_s() < 4.5
+        assert controller.expire(4.0).refused == []
+        refused = controller.expire(4.5).refused
+        assert [r.call.owner_call_id for r in refused] == [2]
+        assert refused[0].failure.reason is outcome.Reason.DRAINING
+
+    def test_call_with_a_deadline_before_the_end_is_taken(self):
+        controller = make_admission(slots=1)
+        train(controller, "short", 0.1)
+        controller.end_s = 5.0
+        decision = controller.offer(make_call(1, deadline_s=4.9), 4.6)
+        assert [call.owner_call_id for call in decision.dispatched] == [1]
+
+    def test_long_work_is_refused_earlier_than_short_work(self):
+        """Calls made by running work are short, and are taken the longest."""
+        controller = make_admission(slots=4)
+        train(controller, "short", 0.01)
+        train(controller, "long", 0.4)
+        controller.end_s = 5.0
+        assert controller.offer(make_call(1, route="long"), 4.0).refused
+        assert controller.offer(make_call(2, route="short"), 4.0).dispatched
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import anyio
 import anyio.lowlevel
+import pytest
 
 from monsoonpass.core.distribution import host_route
 from monsoonpass.runtime import http_server
@@ -372,3 +373,52 @@
                 assert (await receive_all(stream)).startswith(b"HTTP/1.1 408")
 
         run_with_server(impatient_app, scenario)
+
+
+class TestFinish:
+    def test_open_request_is_answered_before_the_server_has_finished(self):
+        """A planned stop ends while an answer is being sent.
+
+        Guard: the wait for `_open_requests` in Server.finish.
+        """
+        events = []
+
+        async def slow_app(scope, receive, send):
+            await receive()
+            await anyio.sleep(0.1)
+            await answer(send)
+            events.append("answered")
+
+        async def scenario(fixture):
+            fixture.closing = True
+            async with await fixture.open() as stream:
+                await stream.send(REQUEST)
+                await anyio.sleep(0.02)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(receive_all, stream)
+                    await fixture.server.finish()
+                    events.append("finished")
+
+        run_with_server(slow_app, scenario)
+        assert events == ["answered", "finished"]
+
+    def test_finished_server_accepts_no_connection(self):
+        """Guard: `self._accepting.cancel()` in Server.finish."""
+
+        async def scenario(fixture):
+            async with await fixture.open():
+                await fixture.server.finish()
+                with pytest.raises(OSError):
+                    await anyio.connect_tcp("127.0.0.1", fixture.port)
+
+        run_with_server(simple_app, scenario)
+
+    def test_idle_connection_does_not_delay_the_end(self):
+        async def scenario(fixture):
+            async with await fixture.open() as stream:
+                await stream.send(REQUEST)
+                await receive_until(stream, b"whole")
+                with anyio.fail_after(1.0):
+                    await fixture.server.finish()
+
+        run_with_server(simple_app, scenario)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,9 +1,16 @@
 """Tests of a planned stop during which the node still serves callers."""
 
+import dataclasses
+
+import pytest
+
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import reducer
+from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import stop_fit
 from monsoonpass.core.membership import member as member_lib
+from tests import fake_calls
 from tests import fake_mesh
 from tests import test_own_upstream
 
@@ -75,3 +82,145 @@
         assert not stopped(scene)
         scene.mesh.run(1.5)
         assert stopped(scene)
+
+
+GRACE_S = 6.0
+STOP_AFTER_S = 2.5
+DRAIN_LIMIT_S = 5.2
+SERVICE_S = 0.1
+STRAGGLER_FACTOR = 6.0
+
+
+class StopScene:
+    """Two owners under load, of which one stops."""
+
+    def __init__(self, *, deadline_s: float = 2.0):
+        self.mesh = fake_calls.make_call_mesh(
+            seed_number=7,
+            nodes=2,
+            slots=12,
+            entries=1,
+            deadline_s=deadline_s,
+        )
+        for name in ("o0", "o1"):
+            self.mesh.nodes[name].service_s = self._service_s
+        self.stopping = self.mesh.nodes["o0"]
+        self.stopping.state.settings = dataclasses.replace(
+            self.stopping.state.settings,
+            stop_after_s=STOP_AFTER_S,
+            drain_limit_s=DRAIN_LIMIT_S,
+        )
+
+    def _service_s(self, record) -> float:
+        """Return the service time of a call; every tenth is a straggler."""
+        is_straggler = record.number % 10 == 0
+        return SERVICE_S * (STRAGGLER_FACTOR if is_straggler else 1.0)
+
+    def load(self, duration_s: float, entry: str, path: str) -> list:
+        """Send calls to an entry node every 20 ms; return their records."""
+        records = []
+        end_s = self.mesh.now_s + duration_s
+        while self.mesh.now_s < end_s:
+            if not self.has_stopped:
+                records.append(self.mesh.call(entry, path=path))
+            self.mesh.run(0.02)
+        return records
+
+    @property
+    def has_stopped(self) -> bool:
+        """Whether the stop is complete."""
+        return any(
+            isinstance(effect, effects.StopCompleted)
+            for effect in self.stopping.performed_effects
+        )
+
+
+class TestWorkNearTheEnd:
+    @pytest.mark.parametrize("path", ["/lots", "/payments"])
+    @pytest.mark.parametrize("entry", ["o0", "e0"])
+    def test_stop_takes_no_call_that_it_cannot_finish(self, entry, path):
+        """Kept connections bring calls until the process ends.
+
+        Guard: `stop_fit.fits` in attempts and `_fits_before_close` in
+        Admission.
+        """
+        scene = StopScene()
+        scene.load(2.0, entry, path)
+        scene.stopping.feed(events.StopRequested)
+        records = scene.load(GRACE_S, entry, path)
+        assert scene.has_stopped
+        scene.mesh.run(3.0)
+        lost = [
+            record
+            for record in records
+            if record.ended_s is None
+            or (
+                record.failure is not None
+                and record.failure.outcome is not outcome.Outcome.NOT_RUN
+            )
+        ]
+        assert lost == []
+        answered = [record for record in records if record.failure is None]
+        assert len(answered) > len(records) / 2
+
+    def test_refused_call_is_told_to_come_back_to_another_node_soon(self):
+        scene = StopScene()
+        scene.load(2.0, "o0", "/payments")
+        scene.stopping.feed(events.StopRequested)
+        scene.mesh.run(DRAIN_LIMIT_S - SERVICE_S)
+        record = scene.mesh.call("o0", path="/payments")
+        assert record.failure.reason is outcome.Reason.DRAINING
+        assert record.failure.retry_after_s <= 0.5
+
+    def test_running_call_is_given_up_with_a_true_answer_before_the_end(self):
+        """A call takes longer than the whole grace.
+
+        Guard: `attempts.give_up_all` in the reducer's handler of DrainCheck.
+        """
+        scene = StopScene(deadline_s=90.0)
+        for name in ("o0", "o1"):
+            scene.mesh.nodes[name].service_s = lambda _: 60.0
+        records = [scene.mesh.call("o0", path="/payments") for _ in range(4)]
+        records += [scene.mesh.call("e0", path="/payments") for _ in range(20)]
+        scene.mesh.run(0.5)
+        assert scene.stopping.state.admission.in_progress
+        scene.stopping.feed(events.StopRequested)
+        scene.mesh.run(DRAIN_LIMIT_S - 0.05)
+        assert not scene.has_stopped
+        assert all(record.ended_s is None for record in records)
+        scene.mesh.run(0.5)
+        assert scene.has_stopped
+        for record in records[:4]:
+            assert record.failure.outcome is outcome.Outcome.UNKNOWN
+        given_up = [r for r in records[4:] if r.failure is not None]
+        assert given_up
+        for record in given_up:
+            assert record.failure.outcome is outcome.Outcome.UNKNOWN
+
+    def test_upload_is_refused_if_its_body_cannot_arrive_before_the_end(self):
+        """Guard: `body_bytes` in stop_fit.latest_start_s."""
+        fields = {"deadline_s": 30.0, "usual_s": 0.1, "objective_s": 0.5}
+        short_s = stop_fit.latest_start_s(5.0, **fields)
+        rest_bytes = 3 * stop_fit.BODY_RATE_BYTES_S
+        long_s = stop_fit.latest_start_s(5.0, **fields, body_bytes=rest_bytes)
+        assert short_s - long_s == pytest.approx(3.0)
+
+    def test_entry_judges_an_upload_by_the_rest_of_its_body(self):
+        """Guard: `body_rest_bytes` in attempts.fits_before_stop."""
+        scene = StopScene(deadline_s=20.0)
+        scene.load(2.0, "o0", "/payments")
+        scene.stopping.feed(events.StopRequested)
+        scene.mesh.run(1.0)
+        event = events.CallArrived(
+            now_s=scene.mesh.now_s,
+            random_bits=1,
+            call_id=9999,
+            host="shop",
+            method="POST",
+            path="/payments",
+            timeout_s=None,
+            key=None,
+            body_rest_bytes=50 * 1024 * 1024,
+        )
+        failed = reducer.step(event, scene.stopping.state)[-1]
+        assert failed.failure.reason is outcome.Reason.DRAINING
