Mark synced records, so that damage to the last ones is reported

After each sync a mark is appended now, not synced itself: if a power failure loses it, the batch before it is on the disk. Whatever fails its checksum before a mark is damage. Batch numbers continue over a restart instead of leaving one out.

Also: a truncation or removal that fails at opening is a DiskError, not an OSError.

Shown at each byte of the last synced batch, with payloads that end in zero and that hold 16 zeros (fails without the mark), and by random losses after the last sync.

--- a/src/monsoonpass/formats/journal.py
+++ b/src/monsoonpass/formats/journal.py
@@ -5,10 +5,15 @@
 the payload. A batch holds the records that one sync makes durable; the next
 batch is written only after that sync.
 
+After a sync, a mark is appended: a record that holds no message, the first one
+of the next batch. It is not synced itself. If a power failure loses it, what it
+vouches for is on the disk already.
+
 A power failure may lose any part of the last batch: the file then ends early
 or has zeros in place of the lost bytes. No record of that batch was confirmed,
 so opening the journal truncates it there. Any other checksum mismatch is
-corruption, which is reported and never truncated.
+corruption, which is reported and never truncated, and so is every mismatch
+before a mark.
 """
 
 from collections.abc import Iterable
@@ -26,6 +31,7 @@
 from monsoonpass.core.agreement import consensus_records as records
 
 RECORD_MAX_BYTES = 32 * 1024 * 1024
+_MARK_PAYLOAD = b"synced"
 _UNWRITTEN_RUN = bytes(16)  # A run of zeros that no record contains.
 _PREFIX_STRUCT = struct.Struct(">II")  # Payload length and batch number.
 _CHECKSUMS_STRUCT = struct.Struct(">II")  # CRC-32 of prefix and of payload.
@@ -62,18 +68,24 @@
             data = self._path(self._number).read_bytes()
         except OSError as error:
             raise _disk_error(error) from error
-        found, valid_bytes, self._batch = _read_records(data)
+        found, valid_bytes, last_batch = _read_records(data)
+        # The sync below ends the last batch.
+        self._batch = last_batch - 1
         self.records = tuple(found)
         _check_owner(self.records, instance)
         self.truncated_bytes = len(data) - valid_bytes
         self._synced_bytes = valid_bytes
         self._written_bytes = valid_bytes
+        self._is_mark_missing = False
         if self.truncated_bytes:
-            os.truncate(self._path(self._number), valid_bytes)
+            self.truncate_to_last_sync()
         # Records that a killed process wrote may not be on the disk yet.
         self.sync()
-        _remove_other_files(folder, self._path(self._number))
-        _sync_folder(folder)
+        try:
+            _remove_other_files(folder, self._path(self._number))
+            _sync_folder(folder)
+        except OSError as error:
+            raise _disk_error(error) from error
 
     def append(self, new_records: Iterable[Any]) -> None:
         """Append records to the file, without syncing it.
@@ -85,6 +97,9 @@
             DiskFullError: The disk is full.
             DiskError: The write failed.
         """
+        if self._is_mark_missing:
+            # The file may end in a part of the mark.
+            self.truncate_to_last_sync()
         batch = self._batch + 1
         data = b"".join(_pack_record(record, batch) for record in new_records)
         try:
@@ -106,6 +121,22 @@
             raise _disk_error(error) from error
         self._synced_bytes = self._written_bytes
         self._batch += 1
+        self._append_mark()
+
+    def _append_mark(self) -> None:
+        """Mark all records so far as synced.
+
+        A mark that cannot be written is left out: the records are durable
+        without it, and the next write to the disk reports its fault.
+        """
+        mark = _pack(_MARK_PAYLOAD, self._batch + 1)
+        try:
+            _write_all(self._file, mark)
+        except OSError:
+            self._is_mark_missing = True
+            return
+        self._written_bytes += len(mark)
+        self._synced_bytes = self._written_bytes
 
     def truncate_to_last_sync(self) -> None:
         """Remove all records since the last sync, after a failed write.
@@ -118,6 +149,7 @@
         except OSError as error:
             raise _disk_error(error) from error
         self._written_bytes = self._synced_bytes
+        self._is_mark_missing = False
 
     def replace(self, new_records: Iterable[Any]) -> None:
         """Replace all records atomically and durably.
@@ -150,6 +182,7 @@
         self._number += 1
         self._batch = 1
         self._synced_bytes = self._written_bytes = len(data)
+        self._append_mark()
         # An old file that cannot be removed now is removed at the next start.
         with contextlib.suppress(OSError):
             old.unlink()
@@ -193,6 +226,10 @@
     payload = codec.encode(record)
     if len(payload) > RECORD_MAX_BYTES:
         raise errors.DiskError(f"a record of {len(payload)} bytes is too long")
+    return _pack(payload, batch)
+
+
+def _pack(payload: bytes, batch: int) -> bytes:
     prefix = _PREFIX_STRUCT.pack(len(payload), batch)
     return (
         prefix
@@ -224,11 +261,15 @@
         if zlib.crc32(payload) != payload_checksum:
             _check_incomplete_write(data, position, payload, batch)
             break
+        position_after = payload_start + size_bytes
+        if payload == _MARK_PAYLOAD:
+            position = position_after
+            continue
         try:
             found.append(codec.decode(payload))
         except errors.ProtocolError as error:
             raise _damaged_error(position) from error
-        position = payload_start + size_bytes
+        position = position_after
     return found, position, batch
 
 
@@ -261,16 +302,20 @@
 
     Raises:
         JournalDamagedError: The bytes have no run of zeros and do not end in
-            zero, or a later batch follows them.
+            zero, or a mark or a later batch follows them.
     """
     if (
         not invalid_bytes.endswith(b"\0")
         and _UNWRITTEN_RUN not in invalid_bytes
     ):
         raise _damaged_error(position)
-    for offset in range(position + 1, len(data) - _HEADER_STRUCT.size):
+    for offset in range(position + 1, len(data) - _HEADER_STRUCT.size + 1):
         header = _read_header(data, offset)
-        if header is not None and header[1] > batch:
+        if header is None:
+            continue
+        payload_start = offset + _HEADER_STRUCT.size
+        is_mark = data.startswith(_MARK_PAYLOAD, payload_start)
+        if header[1] > batch or is_mark:
             raise _damaged_error(position)
 
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,6 +1,7 @@
 """Recovery and replacement of the journal, on real files."""
 
 import errno
+import io
 import os
 
 import hypothesis
@@ -24,31 +25,37 @@
     return journal_lib.Journal(folder=folder, instance="n1")
 
 
-def write_three_records(folder):
+def write_three_records(folder, *, synced: bool = True):
     """Write three records in one batch and return the file's path."""
     journal = open_journal(folder)
     journal.append([entry(1), entry(2), entry(3)])
-    journal.sync()
+    if synced:
+        journal.sync()
     journal.close()
     return next(folder.glob("journal-*.log"))
 
 
+MARK_BYTES = len(journal_lib._pack(journal_lib._MARK_PAYLOAD, 1))
+
+
 class TestRecovery:
     def test_records_are_read_in_order(self, tmp_path):
         write_three_records(tmp_path)
         assert open_journal(tmp_path).records == (entry(1), entry(2), entry(3))
 
     def test_torn_tail_of_any_length_is_truncated(self, tmp_path):
-        path = write_three_records(tmp_path)
+        path = write_three_records(tmp_path, synced=False)
         content = path.read_bytes()
-        record_bytes = len(content) // 3
-        for kept_bytes in range(2 * record_bytes + 1, 3 * record_bytes):
+        start = MARK_BYTES
+        record_bytes = (len(content) - start) // 3
+        kept_start = start + 2 * record_bytes
+        for kept_bytes in range(kept_start + 1, len(content)):
             path.write_bytes(content[:kept_bytes])
             journal = open_journal(tmp_path)
             assert journal.records == (entry(1), entry(2))
-            assert journal.truncated_bytes == kept_bytes - 2 * record_bytes
+            assert journal.truncated_bytes == kept_bytes - kept_start
             journal.close()
-            assert path.stat().st_size == 2 * record_bytes
+            assert path.stat().st_size == kept_start + start
 
     def test_zeros_after_the_last_record_are_a_torn_tail(self, tmp_path):
         path = write_three_records(tmp_path)
@@ -71,11 +78,13 @@
 
     def test_gap_in_the_last_batch_is_truncated(self, tmp_path):
         """A power failure may lose any part of the records not yet synced."""
-        path = write_three_records(tmp_path)
+        path = write_three_records(tmp_path, synced=False)
         content = path.read_bytes()
-        record_bytes = len(content) // 3
-        for start in range(record_bytes, 2 * record_bytes):
-            for end in (2 * record_bytes, 3 * record_bytes - 5):
+        mark = MARK_BYTES
+        record_bytes = (len(content) - mark) // 3
+        second = mark + record_bytes
+        for start in range(second, second + record_bytes):
+            for end in (second + record_bytes, len(content) - 5):
                 gap = bytes(end - start)
                 path.write_bytes(content[:start] + gap + content[end:])
                 journal = open_journal(tmp_path)
@@ -86,14 +95,16 @@
     def test_gap_before_a_synced_batch_is_damage(self, tmp_path):
         """Guard: the search for later batches in _check_incomplete_write."""
         path = write_three_records(tmp_path)
-        record_bytes = path.stat().st_size // 3
+        mark = MARK_BYTES
+        record_bytes = (path.stat().st_size - 2 * mark) // 3
         journal = open_journal(tmp_path)
         for index in (4, 5):
             journal.append([entry(index)])
             journal.sync()
         journal.close()
         data = bytearray(path.read_bytes())
-        data[2 * record_bytes : 3 * record_bytes] = bytes(record_bytes)
+        third = mark + 2 * record_bytes
+        data[third : third + record_bytes] = bytes(record_bytes)
         path.write_bytes(bytes(data))
         with pytest.raises(errors.JournalDamagedError):
             open_journal(tmp_path)
@@ -119,13 +130,75 @@
             journal.sync()
         journal.close()
         path = next(tmp_path.glob("journal-*.log"))
-        record_bytes = path.stat().st_size // 2
+        mark = MARK_BYTES
+        record_bytes = (path.stat().st_size - 3 * mark) // 2
         data = bytearray(path.read_bytes())
-        data[record_bytes - 10 : record_bytes] = bytes(10)
+        end = mark + record_bytes
+        data[end - 10 : end] = bytes(10)
         path.write_bytes(bytes(data))
         with pytest.raises(errors.JournalDamagedError):
             open_journal(tmp_path)
 
+    @pytest.mark.parametrize("tail", [b"\0", bytes(16) + b"x"])
+    def test_damage_at_any_byte_of_the_last_synced_batch_is_reported(
+        self, tmp_path, tail
+    ):
+        """A payload that ends in zero, or holds many, looks like a torn one.
+
+        Guard: `is_mark` in _check_incomplete_write.
+        """
+        journal = open_journal(tmp_path)
+        journal.append(
+            [
+                records.Entry(
+                    index=index,
+                    term=1,
+                    kind=records.EntryKind.NOOP,
+                    data=b"x" * 20 + tail,
+                )
+                for index in (1, 2)
+            ]
+        )
+        journal.sync()
+        journal.close()
+        path = next(tmp_path.glob("journal-*.log"))
+        content = path.read_bytes()
+        mark = MARK_BYTES
+        for position in range(mark, len(content) - mark):
+            for flipped in (content[position] ^ 0x55, 0):
+                if flipped == content[position]:
+                    continue
+                data = bytearray(content)
+                data[position] = flipped
+                path.write_bytes(bytes(data))
+                with pytest.raises(errors.JournalDamagedError):
+                    open_journal(tmp_path)
+
+    @hypothesis.given(data=st.data())
+    def test_power_failure_loses_no_synced_record(self, tmp_path, data):
+        """Any part of what was written after the last sync may be lost."""
+        for old in tmp_path.glob("journal-*"):
+            old.unlink()
+        journal = open_journal(tmp_path)
+        journal.append([entry(1), entry(2)])
+        journal.sync()
+        path = next(tmp_path.glob("journal-*.log"))
+        synced_bytes = path.stat().st_size - MARK_BYTES
+        journal.append([entry(3), entry(4)])
+        journal.close()
+        content = bytearray(path.read_bytes())
+        start = data.draw(st.integers(synced_bytes, len(content)))
+        end = data.draw(st.integers(start, len(content)))
+        content[start:end] = bytes(end - start)
+        kept = data.draw(st.integers(synced_bytes, len(content)))
+        path.write_bytes(bytes(content[:kept]))
+        journal = open_journal(tmp_path)
+        assert journal.records[:2] == (entry(1), entry(2))
+        journal.append([entry(5)])
+        journal.sync()
+        journal.close()
+        assert open_journal(tmp_path).records[-1] == entry(5)
+
     def test_truncated_records_can_be_appended_again(self, tmp_path):
         """Guard: the truncation in Journal.truncate_to_last_sync."""
         write_three_records(tmp_path)
@@ -195,6 +268,48 @@
         assert open_journal(tmp_path).records == (entry(9),)
 
 
+class TestMark:
+    def test_part_of_a_mark_is_removed_before_the_next_write(
+        self, tmp_path, monkeypatch
+    ):
+        """The disk fills up while the mark is written.
+
+        Guard: `_is_mark_missing` in Journal.append.
+        """
+        journal = open_journal(tmp_path)
+        journal.append([entry(1)])
+        write_all = journal_lib._write_all
+
+        def write_half(file, data):
+            file.write(data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "full")
+
+        monkeypatch.setattr(journal_lib, "_write_all", write_half)
+        journal.sync()
+        monkeypatch.setattr(journal_lib, "_write_all", write_all)
+        journal.append([entry(2)])
+        journal.sync()
+        journal.close()
+        assert open_journal(tmp_path).records == (entry(1), entry(2))
+
+    def test_failed_truncation_at_the_start_is_a_disk_error(
+        self, tmp_path, monkeypatch
+    ):
+        """Guard: `truncate_to_last_sync` in Journal.__init__."""
+        path = write_three_records(tmp_path)
+        path.write_bytes(path.read_bytes() + bytes(100))
+
+        class BrokenFile(io.FileIO):
+            def truncate(self, *unused):
+                raise OSError(errno.EIO, "broken")
+
+        monkeypatch.setattr(
+            journal_lib, "_open_for_append", lambda p: BrokenFile(p, "ab")
+        )
+        with pytest.raises(errors.DiskError):
+            open_journal(tmp_path)
+
+
 class TestFullDisk:
     def test_full_disk_raises_disk_full_error(self, tmp_path, monkeypatch):
         journal = open_journal(tmp_path)
