Test requests that callers send ahead on one connection

They are served one after the other, so answers are in order; the tests show it for refused, late and cancelled first requests, for an answer that closes the connection or breaks off (nothing behind reaches the application), and for requests cut at many bytes.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -375,6 +375,130 @@
         run_with_server(impatient_app, scenario)
 
 
+async def status_app(scope, receive, send) -> None:
+    """Answer with the status in the path, after its delay in ms."""
+    while (await receive()).get("more_body"):
+        pass
+    status, _, delay_ms = scope["path"].strip("/").partition("/")
+    await anyio.sleep(int(delay_ms or 0) / 1000)
+    await answer(send, scope["path"].encode() + b";", int(status))
+
+
+def pipelined(*paths: str) -> bytes:
+    """Return several requests to be sent at once."""
+    return b"".join(
+        f"GET {path} HTTP/1.1\r\nhost: shop\r\n\r\n".encode() for path in paths
+    )
+
+
+class TestPipelining:
+    """Callers send further requests before the first one was answered."""
+
+    def receive_answers(self, app, *paths, closing=False) -> bytes:
+        """Return all answers to requests that are sent at once."""
+        received = []
+
+        async def scenario(fixture):
+            fixture.closing = closing
+            async with await fixture.open() as stream:
+                await stream.send(pipelined(*paths))
+                if closing:
+                    received.append(await receive_all(stream))
+                else:
+                    last = paths[-1].encode() + b";"
+                    received.append(await receive_until(stream, last))
+
+        run_with_server(app, scenario)
+        return received[0]
+
+    def bodies(self, data: bytes) -> list[bytes]:
+        """Return the bodies of several answers, in their order."""
+        return [
+            part.partition(b"\r\n\r\n")[2]
+            for part in data.split(b"HTTP/1.1 ")[1:]
+        ]
+
+    def test_answers_come_in_the_order_of_the_requests(self):
+        data = self.receive_answers(status_app, "/200/60", "/200/1", "/200/30")
+        assert self.bodies(data) == [b"/200/60;", b"/200/1;", b"/200/30;"]
+
+    def test_refusal_of_the_first_request_leaves_the_others_to_be_served(self):
+        data = self.receive_answers(status_app, "/503", "/504/20", "/200")
+        assert self.bodies(data) == [b"/503;", b"/504/20;", b"/200;"]
+
+    def test_requests_behind_a_closing_answer_do_not_reach_the_application(
+        self,
+    ):
+        """They count as not read, so callers send all of them again."""
+        seen = []
+
+        async def recording_app(scope, receive, send):
+            seen.append(scope["path"])
+            await status_app(scope, receive, send)
+
+        data = self.receive_answers(
+            recording_app, "/200/20", "/200/2", "/200/3", closing=True
+        )
+        assert self.bodies(data) == [b"/200/20;"]
+        assert b"connection: close" in data.lower()
+        assert seen == ["/200/20"]
+
+    def test_requests_behind_a_broken_answer_do_not_reach_the_application(
+        self,
+    ):
+        seen = []
+
+        async def breaking_app(scope, receive, send):
+            seen.append(scope["path"])
+            await receive()
+            raise RuntimeError("the answer broke off")
+
+        async def scenario(fixture):
+            async with await fixture.open() as stream:
+                await stream.send(pipelined("/1", "/2"))
+                assert await receive_all(stream) == b""
+
+        run_with_server(breaking_app, scenario)
+        assert seen == ["/1"]
+
+    def test_caller_that_leaves_ends_the_first_request_and_all_behind_it(self):
+        seen = []
+        left = []
+
+        async def waiting_app(scope, receive, send):
+            seen.append(scope["path"])
+            event = await receive()
+            while event["type"] != "http.disconnect":
+                event = await receive()
+            left.append(scope["path"])
+
+        async def scenario(fixture):
+            async with await fixture.open() as stream:
+                await stream.send(pipelined("/1", "/2", "/3"))
+                await anyio.sleep(0.05)
+            while not left:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.05)
+
+        run_with_server(waiting_app, scenario)
+        assert seen == left == ["/1"]
+
+    def test_request_may_be_split_anywhere(self):
+        """Guard: parsing of what had arrived before the previous answer."""
+
+        async def scenario(fixture):
+            data = pipelined("/200/5", "/200/1")
+            for cut in range(0, len(data), 7):
+                async with await fixture.open() as stream:
+                    await stream.send(data[:cut])
+                    await anyio.sleep(0.002)
+                    await stream.send(data[cut:])
+                    received = await receive_until(stream, b"/200/1;")
+                    assert self.bodies(received) == [b"/200/5;", b"/200/1;"]
+
+        run_with_server(status_app, scenario)
+
+
 class TestFinish:
     def test_open_request_is_answered_before_the_server_has_finished(self):
         """A planned stop ends while an answer is being sent.
