--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,6 +29,8 @@
         processes: Daemon processes by instance name.
         http: HTTP client for the operator endpoints.
         sources: Source folders of instances that run another build, by name.
+        profile_folder: Folder for the profiles that the daemons write when
+            they are terminated, or None for daemons without a profiler.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         extra_settings: str = "",
         captures_output: bool = False,
         sources: Mapping[str, pathlib.Path] | None = None,
+        profile_folder: pathlib.Path | None = None,
     ):
         """Prepare the settings; the daemons start when the context is entered.
 
@@ -52,7 +55,9 @@
                 this process instead of discarded.
             sources: Source folders of instances that run another build;
                 the others run this checkout.
+            profile_folder: Folder for the daemons' profiles, or None.
         """
+        self.profile_folder = profile_folder
         self._output = (
             subprocess.PIPE if captures_output else subprocess.DEVNULL
         )
@@ -90,8 +95,13 @@
         environment = dict(os.environ)
         if node.name in self.sources:
             environment["PYTHONPATH"] = str(self.sources[node.name])
+        profiler: list[str] = []
+        if self.profile_folder is not None:
+            output = str(self.profile_folder / node.name)
+            profiler = ["-m", "cProfile", "-o", output]
+        module = ["-m", "monsoonpass.cli", "--settings", str(path)]
         self.processes[node.name] = subprocess.Popen(
-            [sys.executable, "-m", "monsoonpass.cli", "--settings", str(path)],
+            [sys.executable, *profiler, *module],
             stdout=self._output,
             stderr=subprocess.DEVNULL,
             env=environment,
@@ -115,6 +125,11 @@
         self.processes[node.name].kill()
         self.processes[node.name].wait()
 
+    def terminate(self, node: local_mesh.LocalNode) -> None:
+        """Stop the daemon of a node (SIGTERM) and wait until it exits."""
+        self.processes[node.name].terminate()
+        self.processes[node.name].wait()
+
     def freeze(self, node: local_mesh.LocalNode) -> None:
         """Suspend the daemon of a node (SIGSTOP)."""
         self.processes[node.name].send_signal(signal.SIGSTOP)
@@ -232,12 +247,17 @@
 
 
 @contextlib.contextmanager
-def run_pair(folder: pathlib.Path, text: str) -> Iterator[Pair]:
+def run_pair(
+    folder: pathlib.Path,
+    text: str,
+    profile_folder: pathlib.Path | None = None,
+) -> Iterator[Pair]:
     """Run an entry node and an owner node with an operator text in force.
 
     Args:
         folder: Folder for settings files and data.
         text: Operator text with a service named "shop".
+        profile_folder: Folder for the daemons' profiles, or None.
 
     Yields:
         The pair, ready for calls.
@@ -248,7 +268,12 @@
     )
     with (
         Upstream() as upstream,
-        Fleet(specs=specs, voters=["owner"], folder=folder) as fleet,
+        Fleet(
+            specs=specs,
+            voters=["owner"],
+            folder=folder,
+            profile_folder=profile_folder,
+        ) as fleet,
     ):
         entry, owner = fleet.nodes
         fleet.announce(owner, upstream.port, slots=64)
