Refuse calls that arrive while a stopped node sends its last answers

A node got SIGTERM at 25.2 s, was idle at 28.1 s and ended at 28.54 s; requests of 28.386 and 28.421 s were taken, one of them run by an upstream, and cut with their connections.

Now the end of the stop moves to that moment, so that arrivals are refused as "not run", draining.

test_stop: a call that arrives after the stop was complete (fails before).

--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -132,6 +132,9 @@
             *(attempts.give_up_all(state, event) if is_over else []),
             effects.SetTimer(timer=timer, delay_s=DRAIN_CHECK_INTERVAL_S),
         ]
+    # The process only sends its last answers now, and takes no more calls.
+    state.stop_deadline_s = event.now_s
+    state.admission.end_s = event.now_s
     return [
         *gossip.update_own_record(
             state, event, state=member_lib.MemberState.LEFT
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -163,6 +163,19 @@
         answered = [record for record in records if record.failure is None]
         assert len(answered) > len(records) / 2
 
+    def test_call_that_arrives_after_the_stop_was_complete_is_refused(self):
+        """The process still waits for its last answers to be sent.
+
+        Guard: `state.stop_deadline_s = event.now_s` in the reducer.
+        """
+        scene = StopScene()
+        scene.load(2.0, "o0", "/payments")
+        scene.stopping.feed(events.StopRequested)
+        while not scene.has_stopped:
+            scene.mesh.run(0.05)
+        record = scene.mesh.call("o0", path="/payments")
+        assert record.failure.reason is outcome.Reason.DRAINING
+
     def test_refused_call_is_told_to_come_back_to_another_node_soon(self):
         scene = StopScene()
         scene.load(2.0, "o0", "/payments")
