Bound surveys for other data centres, and waits for endpoints

Queries of other data centres started surveys without evicting old ones, so a flood of PlaceQuery passed the bound. An endpoint query that reached a node without contacts entered its sender among the waiting nodes, where no reply would ever remove it. Both tests fail before.

--- a/src/monsoonpass/core/distribution/survey.py
+++ b/src/monsoonpass/core/distribution/survey.py
@@ -288,6 +288,7 @@
     number = _next_survey_number(state)
     own = state.settings.address.instance
     members = state.membership.table.present()
+    bounded_mapping.evict_oldest_if_full(state.surveys, SURVEYS_IN_PROGRESS_MAX)
     state.surveys[number] = DataCentreSurvey(
         requester=requester,
         requester_number=requester_number,
--- a/src/monsoonpass/core/membership/directory.py
+++ b/src/monsoonpass/core/membership/directory.py
@@ -247,9 +247,10 @@
             members=endpoints.members,
         )
         result.append(effects.Send(to=event.sender, message=reply))
-    waiting_nodes = state.directory.waiting_nodes.setdefault(
-        message.service, {}
-    )
+    if not directory.contacts:
+        # No reply would come that ends the wait.
+        return result
+    waiting_nodes = directory.waiting_nodes.setdefault(message.service, {})
     if len(waiting_nodes) < CONTACTS_MAX * ENDPOINTS_MAX:
         waiting_nodes[event.sender.instance] = event.sender
     return result + refresh_endpoints(state, event, message.service)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,6 +7,7 @@
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core.distribution import survey
+from monsoonpass.core.membership import directory
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_mesh
 from tests import fake_topologies
@@ -269,3 +270,37 @@
         mesh.run(30)
         table = mesh.nodes["n1-0"].state.membership.table
         assert not table.get("s2-0").is_present
+
+
+class TestSurveyBound:
+    def test_flood_of_queries_stays_within_the_bound(self):
+        """Guard: the eviction in survey._survey_members."""
+        mesh = fake_mesh.FakeMesh(seed=1)
+        node = mesh.add("n", disk=False, seeds=(), voters=())
+        node.start()
+        mesh.add("m", disk=False, seeds=(), voters=()).start()
+        member = mesh.nodes["m"].state.membership.own_record
+        node.state.membership.table.put(member, 0.0)
+        for number in range(2 * survey.SURVEYS_IN_PROGRESS_MAX):
+            node.feed(
+                events.PeerMessage,
+                sender=fake_mesh.make_address("x"),
+                message=survey.PlaceQuery(number=number),
+            )
+        assert len(node.state.surveys) <= survey.SURVEYS_IN_PROGRESS_MAX
+
+
+class TestEndpointQuery:
+    def test_query_without_contacts_leaves_no_entry(self):
+        """Guard: `if not directory.contacts` in the handler."""
+        mesh = fake_mesh.FakeMesh(seed=1)
+        node = mesh.add("n", disk=False, seeds=(), voters=())
+        node.start()
+        node.feed(
+            events.PeerMessage,
+            sender=fake_mesh.make_address("x"),
+            message=directory.EndpointQuery(
+                service="shop", from_other_data_centre=False
+            ),
+        )
+        assert node.state.directory.waiting_nodes == {}
