--- a/src/monsoonpass/runtime/body.py
+++ b/src/monsoonpass/runtime/body.py
@@ -87,19 +87,25 @@
     def __init__(self, *, size_bytes: int):
         self._available_bytes = size_bytes
         self._granted = anyio.Event()
+        self._closed = False
 
     def grant(self, size_bytes: int) -> None:
         """Add credit."""
         self._available_bytes += size_bytes
         self._granted.set()
 
+    def close(self) -> None:
+        """End every wait for credit, since nothing more is to be sent."""
+        self._closed = True
+        self._granted.set()
+
     async def spend(self, size_bytes: int) -> None:
         """Wait until there is any credit, then spend it.
 
         One chunk may overdraw the credit, so that a chunk longer than the
-        window can be sent.
+        window can be sent. After `close`, there is no wait.
         """
-        while self._available_bytes <= 0:
+        while self._available_bytes <= 0 and not self._closed:
             self._granted = anyio.Event()
             await self._granted.wait()
         self._available_bytes -= size_bytes
--- a/src/monsoonpass/runtime/remote_attempts.py
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -202,6 +202,7 @@
             cancelled = (effect.call_id, effect.attempt)
             if (attempt.call_id, attempt.attempt_number) == cancelled:
                 del self._attempts[attempt.wire_number]
+                attempt.credit.close()
                 cancel = messages.CallCancel(call=attempt.wire_number)
                 if attempt.link is not None:
                     self._mesh.send_on_link(attempt.link, cancel)
@@ -246,6 +247,8 @@
         for start in range(0, max(len(body), 1), body_lib.CHUNK_BYTES):
             chunk = body[start : start + body_lib.CHUNK_BYTES]
             await attempt.credit.spend(len(chunk))
+            if attempt.wire_number not in self._attempts:
+                return
             last = start + body_lib.CHUNK_BYTES >= len(body)
             message = messages.CallBody(
                 call=attempt.wire_number, body=chunk, ended=ended and last
@@ -336,6 +339,7 @@
         load: outcome.Load | None,
     ) -> None:
         self._attempts.pop(attempt.wire_number, None)
+        attempt.credit.close()
         self._engine.feed(
             events.AttemptEnded,
             call_id=attempt.call_id,
