--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -37,6 +37,11 @@
         "info",
         "Messages and bytes sent to peers since the last such event.",
     )
+    MESSAGE_DROPPED = (
+        125,
+        "warning",
+        "Too many messages wait for a stream to a peer; this one was dropped.",
+    )
     GROUP_FORMED = (200, "info", "The control group was formed.")
     LEADER_ELECTED = (201, "info", "This replica became the leader.")
     LEADER_RESIGNED = (202, "info", "This replica stopped being the leader.")
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -67,7 +67,7 @@
             collections.deque()
         )
         self._datagrams_queued = anyio.Event()
-        self._waiting_messages: dict[str, list[Any]] = {}
+        self._waiting_messages: dict[str, list[tuple[Any, bool]]] = {}
         self._pending_handshakes = 0
         self._on_call_message: Callable[[link_lib.Link, Any], None] | None = (
             None
@@ -131,8 +131,7 @@
         Args:
             to: Address of the peer.
             message: A message of a type that is registered for encoding.
-            bulk: Whether messages that are not bulk are sent first. A message
-                that waits for a link is sent as not bulk.
+            bulk: Whether messages that are not bulk are sent first.
 
         Returns:
             The link used, or None while one is being opened.
@@ -141,7 +140,7 @@
         if links:
             self.send_on_link(links[-1], message, bulk=bulk)
             return links[-1]
-        self._queue_until_connected(to, message)
+        self._queue_until_connected(to, message, bulk)
         return None
 
     def send_on_link(
@@ -168,16 +167,23 @@
         self.send_to_peer(effect.to, effect.message)
 
     def _queue_until_connected(
-        self, to: address_lib.Address, message: Any
+        self, to: address_lib.Address, message: Any, bulk: bool
     ) -> None:
         waiting = self._waiting_messages.get(to.instance)
         if waiting is None:
-            self._waiting_messages[to.instance] = [message]
+            self._waiting_messages[to.instance] = [(message, bulk)]
             if self._task_group is not None:
                 self._task_group.start_soon(self._connect, to)
             return
         if len(waiting) < WAITING_MESSAGES_MAX:
-            waiting.append(message)
+            waiting.append((message, bulk))
+            return
+        self._logger.write(
+            log_events.Code.MESSAGE_DROPPED,
+            peer=to.instance,
+            message=type(message).__name__,
+            waiting=len(waiting),
+        )
 
     async def _connect(self, to: address_lib.Address) -> None:
         """Open a link, send the messages that wait for it and serve it."""
@@ -262,8 +268,8 @@
         self.links.setdefault(instance, []).append(link)
         self._metrics.peer_links.inc()
         self._logger.write(log_events.Code.LINK_UP, peer=instance)
-        for message in self._waiting_messages.pop(instance, []):
-            self.send_on_link(link, message)
+        for message, bulk in self._waiting_messages.pop(instance, []):
+            self.send_on_link(link, message, bulk=bulk)
         if self._on_link_opened is not None:
             self._on_link_opened(link)
         try:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -6,6 +6,7 @@
 
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import events
+from monsoonpass.core import log_events
 from monsoonpass.runtime import mesh as mesh_lib
 from monsoonpass.standin import local_mesh
 
@@ -16,6 +17,7 @@
     def __init__(self):
         self.fed = []
         self.lost_instances = []
+        self.logged = []
         engine = types.SimpleNamespace(
             set_performer=lambda effect, performer: None,
             feed=lambda event_type, **fields: self.fed.append(
@@ -32,7 +34,9 @@
         self.mesh = mesh_lib.Mesh(
             engine=engine,
             settings=settings,
-            logger=None,
+            logger=types.SimpleNamespace(
+                write=lambda code, **fields: self.logged.append(code)
+            ),
             metrics=None,
             traffic=None,
             incarnation=1,
@@ -68,3 +72,27 @@
         anyio.run(recording.mesh._connect, recording.peer)
         assert recording.fed == []
         assert recording.lost_instances == []
+
+
+class TestWaitingMessages:
+    """Messages to a peer to which no link is open yet."""
+
+    def test_waiting_message_keeps_its_class(self):
+        """Guard: `bulk` in Mesh._queue_until_connected."""
+        recording = RecordingMesh()
+        sent = []
+        link = types.SimpleNamespace(
+            send=lambda message, bulk: sent.append((message, bulk))
+        )
+        recording.mesh.send_to_peer(recording.peer, "body", bulk=True)
+        recording.mesh.send_to_peer(recording.peer, "head")
+        for message, bulk in recording.mesh._waiting_messages.pop("n1"):
+            recording.mesh.send_on_link(link, message, bulk=bulk)
+        assert sent == [("body", True), ("head", False)]
+
+    def test_dropped_message_is_logged(self):
+        """Guard: the log line in Mesh._queue_until_connected."""
+        recording = RecordingMesh()
+        for number in range(mesh_lib.WAITING_MESSAGES_MAX + 1):
+            recording.mesh.send_to_peer(recording.peer, number)
+        assert recording.logged == [log_events.Code.MESSAGE_DROPPED]
