Reserve the ports of local meshes, and end a failed start with its error

Seen: several suites at once failed now and then with a RuntimeError of a cancel scope, or a ConnectError, while a mesh started (docs/FINDINGS.md).

Cause: ports were looked for and released before the nodes bound them, so another suite could take them; a node that could not bind then ended the task group of the start without its error being shown. Now a process holds a datagram socket on a second loopback address for each port that it gives out, and a start that fails ends the other nodes and raises their errors.

--- a/src/monsoonpass/standin/local_mesh.py
+++ b/src/monsoonpass/standin/local_mesh.py
@@ -1,5 +1,6 @@
 """A mesh of nodes on loopback, in one process and event loop."""
 
+import collections
 from collections.abc import Sequence
 import dataclasses
 import pathlib
@@ -17,6 +18,10 @@
 POLL_INTERVAL_S = 0.02
 PORT_MIN = 18_000
 PORT_MAX = 32_000
+# Address on which a process marks the ports that its nodes will bind.
+RESERVATION_HOST = "127.0.0.2"
+RESERVATIONS_MAX = 256  # Each holds a descriptor.
+_reservations: collections.deque[socket.socket] = collections.deque()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,6 +118,20 @@
     async def __aenter__(self) -> "LocalMesh":
         self._task_group = anyio.create_task_group()
         await self._task_group.__aenter__()
+        try:
+            await self._start_all()
+        except BaseException as error:
+            # Ends the nodes that run, and raises why another one could not.
+            self._task_group.cancel_scope.cancel()
+            with anyio.CancelScope(shield=True):
+                await self.http.aclose()
+            await self._task_group.__aexit__(
+                type(error), error, error.__traceback__
+            )
+            raise
+        return self
+
+    async def _start_all(self) -> None:
         for node in self.nodes:
             await self.start(node)
         for node in self.nodes:
@@ -120,7 +139,6 @@
                 await self._task_group.start(node.upstream.serve)
                 await self.announce(node)
         await self._wait_for_upstreams()
-        return self
 
     async def __aexit__(self, *exc_info: object) -> bool | None:
         for node in self.nodes:
@@ -218,16 +236,31 @@
     """Return ports of 127.0.0.1 that are free for TCP and UDP.
 
     The ports are below the usual ephemeral range, so that no outgoing
-    connection takes one before the caller binds it.
+    connection takes one before the caller binds it. The newest of them are
+    reserved among all processes that use this function.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(PORT_MIN, PORT_MAX)
-        if port not in ports and _is_free(port):
+        if _reserve(port) and _is_free(port):
             ports.append(port)
     return ports
 
 
+def _reserve(port: int) -> bool:
+    """Reserve a port; return whether no process had reserved it."""
+    reservation = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        reservation.bind((RESERVATION_HOST, port))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    if len(_reservations) > RESERVATIONS_MAX:
+        _reservations.popleft().close()
+    return True
+
+
 def _is_free(port: int) -> bool:
     for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(type=socket_type) as test_socket:
