Release a key again that a late copy of its claim took

Reproduced: a claim was sent twice, its call refused as "not run" and the key released; the second copy then took the key for a call that was over, and the next call with the key was refused for the length of the lease.

Cause: the node releases a claim that is granted after its call has ended only if the first one had not been granted. Now it remembers every released claim.

test_keys.TestLateClaim fails before.

--- a/src/monsoonpass/core/keys/keyed_calls.py
+++ b/src/monsoonpass/core/keys/keyed_calls.py
@@ -361,7 +361,7 @@
         body=body,
         stored=stored,
     )
-    if released and not keyed.granted:
+    if released:
         _remember_abandoned(state, keyed.request)
     return _send_to_leader(state, event, call_id)
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,8 +4,12 @@
 
 import anyio
 
+from monsoonpass.core import events
+from monsoonpass.core import reducer
+from monsoonpass.core.calls import outcome
 from monsoonpass.core.keys import ledger
 from monsoonpass.standin import local_mesh
+from tests import fake_calls
 from tests import test_end_to_end
 
 Verdict = ledger.Verdict
@@ -224,3 +228,53 @@
             assert sum(n.upstream.runs["v"] for n in mesh.nodes) == 1
 
         test_end_to_end.run_mesh(tmp_path, test_end_to_end.TWO_NODES, check)
+
+
+class TestEmptyKey:
+    def test_empty_key_is_told_as_such(self):
+        """Guard: `Reason.EMPTY_KEY` in the handler of CallArrived."""
+        mesh = fake_calls.make_call_mesh(seed_number=2)
+        event = events.CallArrived(
+            now_s=mesh.now_s,
+            random_bits=1,
+            call_id=99,
+            host="shop",
+            method="POST",
+            path="/payments",
+            timeout_s=None,
+            key="",
+        )
+        failed = reducer.step(event, mesh.nodes["e0"].state)[-1]
+        assert failed.failure.reason is outcome.Reason.EMPTY_KEY
+        assert failed.failure.retry_after_s is None
+
+
+class TestLateClaim:
+    def test_late_copy_of_a_claim_does_not_hold_a_released_key(self):
+        """The claim was sent twice, and its call was refused as "not run".
+
+        Guard: `_remember_abandoned` in keyed_calls._settle.
+        """
+        mesh = fake_calls.make_call_mesh(seed_number=2, nodes=1)
+        mesh.nodes["o0"].drain()
+        mesh.run(1.0)
+        first = mesh.call("e0", path="/payments", key="k")
+        mesh.run(1.0)
+        assert first.failure.outcome is outcome.Outcome.NOT_RUN
+        entry, leader = mesh.nodes["e0"], mesh.nodes["v0"]
+        leader.feed(
+            events.PeerMessage,
+            sender=entry.settings.address,
+            message=ledger.ClaimRequest(
+                call_id=first.number,
+                service="shop",
+                key="k",
+                fingerprint=b"f",
+            ),
+        )
+        mesh.run(1.0)
+        mesh.nodes["o0"].announce(3)
+        mesh.run(1.0)
+        again = mesh.call("e0", path="/payments", key="k")
+        mesh.run(1.0)
+        assert again.answer == again.number
