--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -270,18 +270,22 @@
     def next_expiry_at_s(self) -> float:
         """Return the earliest time at which a queued call becomes too late."""
         return min(
-            (
-                min(
-                    self._latest_start_s(call),
-                    call.useful_until_s
-                    - self.expected_service_time_s(call.route),
-                )
-                for _, call in self._queue
-                if not call.is_probe
-            ),
+            (self._expires_at_s(call) for _, call in self._queue),
             default=math.inf,
         )
 
+    def _expires_at_s(self, call: owner_call_lib.OwnerCall) -> float:
+        """Return the time from which a queued call is refused.
+
+        A probe runs although its answer is expected to be late, but not after
+        its deadline.
+        """
+        useful_until_s = call.useful_until_s
+        expires_at_s = useful_until_s - self.expected_service_time_s(call.route)
+        if call.is_probe:
+            expires_at_s = call.deadline_s
+        return min(self._latest_start_s(call), expires_at_s)
+
     def expected_wait_s(self, call: owner_call_lib.OwnerCall) -> float:
         """Estimate how long a new call would wait for a slot, in seconds."""
         slots = max(self._slots.usable, 1)
@@ -401,11 +405,7 @@
                     _make_refusal(call, outcome.Reason.DRAINING, None)
                 )
                 continue
-            is_late = (
-                now_s + self.expected_service_time_s(call.route)
-                > call.useful_until_s
-            )
-            if is_late and not call.is_probe:
+            if now_s > self._expires_at_s(call):
                 waited_s = now_s - call.arrived_s
                 self._pace.record(call.pace_class, call.queued_ahead, waited_s)
                 decision.refused.append(
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -73,7 +73,7 @@
         owner_call_id = refused.call.owner_call_id
         call = state.calls.get(owner_call_id)
         if call is None:
-            result += fail_call(state, event, owner_call_id, refused.failure)
+            result.append(refuse_peer_call(owner_call_id, refused.failure))
             continue
         number = own_attempt(state, call)
         attempt = call.attempts.pop(number)
@@ -346,6 +346,17 @@
     return 0
 
 
+def refuse_peer_call(
+    owner_call_id: int, failure: outcome.Failure
+) -> effects.FailCall:
+    """Refuse a call that a peer forwarded.
+
+    The time to come back stays exact: the entry node compares it with the
+    objective of the call, and spreads it once if it reaches the caller.
+    """
+    return effects.FailCall(call_id=owner_call_id, failure=failure, context={})
+
+
 def fail_call(
     state: node.Node,
     event: events.Event,
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -77,7 +77,8 @@
     if event.key is None or route.idempotent:
         return result + _start_call(state, event, call)
     if not 0 < len(event.key) <= ledger.KEY_MAX_CHARS:
-        failure = call_lib.not_run_failure(Reason.TOO_LARGE, None)
+        reason = Reason.TOO_LARGE if event.key else Reason.EMPTY_KEY
+        failure = call_lib.not_run_failure(reason, None)
         return result + attempts.fail_call(state, event, event.call_id, failure)
     return result + keyed_calls.claim(
         state,
@@ -266,12 +267,8 @@
         objective_deadline_s=event.now_s + event.objective_s,
     )
     if event.service != state.admission.service:
-        return attempts.fail_call(
-            state,
-            event,
-            event.owner_call_id,
-            call_lib.not_run_failure(Reason.NO_UPSTREAM, None),
-        )
+        refusal = call_lib.not_run_failure(Reason.NO_UPSTREAM, None)
+        return [attempts.refuse_peer_call(event.owner_call_id, refusal)]
     decision = state.admission.offer(call, event.now_s)
     return attempts.apply_decision(state, event, decision)
 
@@ -281,12 +278,8 @@
     event: events.PeerCallCancelled, state: node.Node
 ) -> list[effects.Effect]:
     if state.admission.withdraw(event.owner_call_id):
-        return attempts.fail_call(
-            state,
-            event,
-            event.owner_call_id,
-            call_lib.not_run_failure(Reason.CANCELLED, None),
-        )
+        refusal = call_lib.not_run_failure(Reason.CANCELLED, None)
+        return [attempts.refuse_peer_call(event.owner_call_id, refusal)]
     if event.owner_call_id in state.admission.in_progress:
         return [effects.AbortDispatch(owner_call_id=event.owner_call_id)]
     return []
@@ -302,7 +295,7 @@
     own = state.settings.address.instance
     for attempt in call.attempts.values():
         if attempt.instance != own:
-            state.routing.record_failure(attempt.instance, event.now_s)
+            state.routing.record_timeout(attempt.instance, event.now_s)
     return attempts.give_up(state, event, call, Reason.DEADLINE)
 
 
--- a/src/monsoonpass/core/calls/outcome.py
+++ b/src/monsoonpass/core/calls/outcome.py
@@ -34,6 +34,7 @@
     LINK_LOST = "link-lost"
     CANCELLED = "cancelled"
     TOO_LARGE = "too-large"
+    EMPTY_KEY = "empty-key"
     DUPLICATE_KEY = "duplicate-key"
     LEDGER_UNAVAILABLE = "ledger-unavailable"
 
--- a/src/monsoonpass/core/calls/retry_after.py
+++ b/src/monsoonpass/core/calls/retry_after.py
@@ -14,6 +14,14 @@
 # About the time until news of another instance of the service has spread.
 FAILOVER_RETRY_AFTER_S = 0.25
 RETRY_AFTER_SPREAD = 2.0  # Longest retry-after time, as a multiple of the wait.
+# Reasons for which a later retry would be refused too.
+FINAL_REASONS = frozenset(
+    (
+        outcome.Reason.NO_ROUTE,
+        outcome.Reason.TOO_LARGE,
+        outcome.Reason.EMPTY_KEY,
+    )
+)
 
 
 def with_retry_after(
@@ -35,7 +43,7 @@
         # Upstreams shed calls at random, not by the length of a queue, so an
         # immediate retry has the same chance as a later one.
         return dataclasses.replace(failure, retry_after_s=RETRY_AFTER_MIN_S)
-    if failure.reason in (outcome.Reason.NO_ROUTE, outcome.Reason.TOO_LARGE):
+    if failure.reason in FINAL_REASONS:
         return failure
     if failure.retry_after_s is None:
         return dataclasses.replace(
--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -131,11 +131,11 @@
 
         Args:
             service: Name of the service.
-            ratio: Tokens added per call; used if the budget is new.
+            ratio: Tokens added per call.
             max_tokens: Capacity of the budget.
 
         Returns:
-            The budget, with that capacity.
+            The budget, with that ratio and capacity.
         """
         budget = self.budgets.get(service)
         if budget is None:
@@ -143,6 +143,7 @@
                 ratio=ratio, max_tokens=max_tokens, tokens=max_tokens
             )
             self.budgets[service] = budget
+        budget.ratio = ratio
         budget.max_tokens = max_tokens
         return budget
 
@@ -183,9 +184,16 @@
         peer.in_flight = max(peer.in_flight - 1, 0)
 
     def record_failure(self, instance: str, now_s: float) -> None:
-        """Record a failure; several consecutive ones eject the instance."""
+        """Record that a call failed; several consecutive ones eject."""
+        self.record_end_without_failure(instance)
+        self.record_timeout(instance, now_s)
+
+    def record_timeout(self, instance: str, now_s: float) -> None:
+        """Count a failure of a call that is still in flight.
+
+        Several consecutive failures eject the instance.
+        """
         peer = self.peer(instance)
-        peer.in_flight = max(peer.in_flight - 1, 0)
         peer.consecutive_failures += 1
         if peer.consecutive_failures >= EJECT_AFTER_FAILURES:
             peer.consecutive_failures = 0
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -34,6 +34,7 @@
 STATUS_BY_REASON = {
     outcome.Reason.NO_ROUTE: 404,
     outcome.Reason.TOO_LARGE: 413,
+    outcome.Reason.EMPTY_KEY: 400,
     outcome.Reason.DUPLICATE_KEY: 409,
 }
 DEADLINE_STATUS = 504
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 
+from monsoonpass.core import effects
+from monsoonpass.core import events
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import retry_budget
 from tests import fake_calls
 from tests import test_host_route
+from tests import test_own_upstream
 from tests import test_routing
 
 RATIO = 0.2
@@ -47,6 +50,17 @@
         assert node_budget.tokens <= 100 * RATIO
 
 
+class TestChangedRatio:
+    def test_changed_ratio_reaches_a_known_service(self):
+        """Guard: `budget.ratio = ratio` in RoutingTable.budget."""
+        scene = test_routing.Scene(x=("a1", 0))
+        state = scene.state
+        retry_budget.for_service(state, "shop")
+        state.settings = dataclasses.replace(state.settings, retry_ratio=0.9)
+        budget = retry_budget.for_service(state, "shop")
+        assert budget.ratio == 0.9 * retry_budget.DIRECT_RETRY_SHARE
+
+
 class TestBounds:
     def test_call_reaches_no_more_upstreams_than_its_route_allows(self):
         """Guard: the sum in Call.may_try_another_upstream."""
@@ -83,3 +97,29 @@
             mesh.run(0.2)
         failures = [record.failure for record in records if record.failure]
         assert failures == []
+
+    def test_owner_leaves_the_time_to_come_back_exact_for_the_entry(self):
+        """Two calls are refused with the same wait, at random bits that differ.
+
+        Guard: `refuse_peer_call` in attempts.apply_decision.
+        """
+        scene = test_own_upstream.Scene()
+        scene.announce(slots=1)
+        scene.call()
+        for number in (11, 12):
+            scene.node.feed(
+                events.PeerCallArrived,
+                owner_call_id=number,
+                service="shop",
+                timeout_s=5.0,
+                priority=1,
+                bulk=False,
+                route="r",
+                objective_s=0.001,
+            )
+        first, second = (
+            effect.failure.retry_after_s
+            for effect in scene.node.performed_effects
+            if isinstance(effect, effects.FailCall)
+        )
+        assert first == second
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,12 +5,14 @@
 import pytest
 
 from monsoonpass.core import events
+from monsoonpass.core import timers
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import retry_after
 from monsoonpass.core.calls import routing
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_mesh
+from tests import test_host_route
 
 SERVICE_S = 0.1
 
@@ -161,3 +163,30 @@
         assert min(retry_times_s) >= 0.2
         assert max(retry_times_s) <= 0.2 * retry_after.RETRY_AFTER_SPREAD
         assert len(retry_times_s) > 10
+
+
+class TestRecordTimeout:
+    def test_deadline_lowers_the_calls_in_flight_once(self):
+        """Two calls are in flight, and one of them reaches its deadline.
+
+        Guard: `record_timeout` in the handler of CallDeadline.
+        """
+        scene = Scene(x=("a1", 0))
+        table = scene.state.routing
+        now_s = scene.mesh.now_s
+        for call_id in (1, 2):
+            call = call_lib.Call(
+                call_id=call_id,
+                service="shop",
+                route=test_host_route.make_route("/"),
+                statistics_key="r",
+                arrived_s=now_s,
+                deadline_s=now_s + 1.0,
+                objective_deadline_s=now_s + 0.5,
+            )
+            call.attempts[1] = call_lib.Attempt(instance="x", started_s=now_s)
+            scene.state.calls[call_id] = call
+            table.record_sent("x")
+        scene.node.feed(events.TimerFired, timer=timers.CallDeadline(call_id=1))
+        assert table.peer("x").in_flight == 1
+        assert table.peer("x").consecutive_failures == 1
