Tell refused callers how long an overload may last

Change: calls/overload_age measures for how long calls of a priority have been refused; the time to come back is that at least, up to 2 s.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -15,6 +15,7 @@
 import math
 
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.calls import overload_age
 from monsoonpass.core.calls import owner_call as owner_call_lib
 from monsoonpass.core.calls import queue_pace
 from monsoonpass.core.calls import service_times
@@ -56,6 +57,7 @@
         ] = []
         self._times = service_times.ServiceTimes()
         self._pace = queue_pace.QueuePace()
+        self._overload_age = overload_age.OverloadAge()
         self._short_arrival_rates: dict[int, float] = {}
         self._short_arrivals: dict[int, int] = {}
         self._window_start_s = 0.0
@@ -174,8 +176,10 @@
         )
         if is_late and not call.is_probe:
             excess_s = done_s - min(call.objective_deadline_s, call.deadline_s)
+            age_s = self._overload_age.record_refusal(call.priority, now_s)
+            retry_after_s = max(excess_s, age_s)
             decision.refused.append(
-                _make_refusal(call, outcome.Reason.OVERLOADED, excess_s)
+                _make_refusal(call, outcome.Reason.OVERLOADED, retry_after_s)
             )
             return decision
         is_reroutable_limit_reached = len(
