--- a/src/monsoonpass/cli/client.py
+++ b/src/monsoonpass/cli/client.py
@@ -1,18 +1,18 @@
 """HTTP client of the operator endpoint."""
 
-import dataclasses
 from typing import Any
 
 import httpx
 import pydantic
 
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.formats import operator_models as models
 
 TIMEOUT_S = 12.0  # Longer than the node waits for its reply.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SubmitAnswer:
     """The result of a submission.
 
--- a/src/monsoonpass/core/address.py
+++ b/src/monsoonpass/core/address.py
@@ -1,9 +1,9 @@
 """Network addresses of nodes."""
 
-import dataclasses
+from monsoonpass import immutable
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Address:
     """Where a node listens for its peers, over TCP and UDP.
 
--- a/src/monsoonpass/core/agreement/consensus_records.py
+++ b/src/monsoonpass/core/agreement/consensus_records.py
@@ -1,9 +1,9 @@
 """Disk records and messages of the replicated log."""
 
-import dataclasses
 import enum
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address
 
 
@@ -15,7 +15,7 @@
     COMMAND = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Member:
     """A replica that belongs to a group.
 
@@ -31,7 +31,7 @@
 
 
 @codec.register(20)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Members:
     """The members of a group."""
 
@@ -63,7 +63,7 @@
 
 
 @codec.register(21)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Entry:
     """Log entry, in messages and as a disk record."""
 
@@ -74,7 +74,7 @@
 
 
 @codec.register(22)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class HardState:
     """Disk record of the current term and vote.
 
@@ -86,7 +86,7 @@
 
 
 @codec.register(23)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class LogSnapshot:
     """State of the state machine, and the members, as of a log index.
 
@@ -100,7 +100,7 @@
 
 
 @codec.register(24)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Identity:
     """Disk record that identifies the replica.
 
@@ -113,7 +113,7 @@
 
 
 @codec.register(30)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VoteRequest:
     """Request for a vote.
 
@@ -129,7 +129,7 @@
 
 
 @codec.register(31)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VoteReply:
     """Reply to a `VoteRequest`."""
 
@@ -141,7 +141,7 @@
 
 
 @codec.register(32)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Append:
     """Log entries from the leader; without entries, a heartbeat.
 
@@ -167,7 +167,7 @@
 
 
 @codec.register(33)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AppendReply:
     """Reply to an `Append` or `InstallSnapshot`, sent once the log is synced.
 
@@ -190,7 +190,7 @@
 
 
 @codec.register(34)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class InstallSnapshot:
     """Snapshot for a follower that lacks entries the leader has compacted."""
 
--- a/src/monsoonpass/core/agreement/control_group.py
+++ b/src/monsoonpass/core/agreement/control_group.py
@@ -1,8 +1,8 @@
 """The node's role in the control group: its replica, maintenance and reads."""
 
-import dataclasses
 from typing import Any
 
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -31,7 +31,7 @@
 assert _follower  # Imported for the message handlers that it registers.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ReadToken:
     """Token of a read of the last accepted version for a node.
 
--- a/src/monsoonpass/core/agreement/control_state_machine.py
+++ b/src/monsoonpass/core/agreement/control_state_machine.py
@@ -1,12 +1,12 @@
 """The state machine replicated by the control group."""
 
 import collections
-import dataclasses
 import functools
 from typing import Any
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.keys import ledger
 
@@ -14,28 +14,28 @@
 
 
 @codec.register(70)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AcceptVersion:
     """Command to make a version the last accepted one."""
 
     delta: catalog_lib.Delta
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionAccepted:
     """Result of a command whose version was accepted."""
 
     delta: catalog_lib.Delta
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionRefused:
     """Result of a command whose version is not newer or has another base."""
 
     version: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class RecentVersion:
     """Number and content digest of an accepted version."""
 
@@ -44,7 +44,7 @@
 
 
 @codec.register(71)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class MachineState:
     """Serialized form of the whole state, for snapshots."""
 
--- a/src/monsoonpass/core/agreement/member_status.py
+++ b/src/monsoonpass/core/agreement/member_status.py
@@ -1,11 +1,10 @@
 """Status of the other members, for reconfiguration by the leader."""
 
-import dataclasses
-
+from monsoonpass import immutable
 from monsoonpass.core.agreement import replica as replica_lib
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class MemberStatus:
     """Status of one member, as the leader sees it.
 
--- a/src/monsoonpass/core/agreement/reconfiguration.py
+++ b/src/monsoonpass/core/agreement/reconfiguration.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -21,7 +22,7 @@
 LEARNER_MAX_LAG_ENTRIES = 16
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class JoinRequest:
     """Request of a node to join the group.
 
--- a/src/monsoonpass/core/agreement/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -16,6 +16,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core.agreement import consensus_records as records
@@ -55,7 +56,7 @@
         """Replace the whole state."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Applied:
     """Notice that a committed command was applied to this replica.
 
@@ -68,19 +69,19 @@
     token: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Restored:
     """Notice that a snapshot replaced the state machine's state."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ReadReady:
     """Notice that a read may be answered from the state machine."""
 
     token: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class RequestDropped:
     """Notice that a proposal or read was abandoned.
 
@@ -102,7 +103,7 @@
     """Raised if a change of members is not allowed, at least not yet."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PendingRead:
     """A read that waits until a quorum confirms the leader.
 
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from monsoonpass import immutable
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import host_route
@@ -9,7 +10,7 @@
 NOT_RUN = outcome.Outcome.NOT_RUN
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Attempt:
     """An attempt to run a call on one upstream instance.
 
--- a/src/monsoonpass/core/calls/call_messages.py
+++ b/src/monsoonpass/core/calls/call_messages.py
@@ -4,17 +4,17 @@
 restart. A late message for a call that has ended is therefore dropped.
 """
 
-import dataclasses
 import math
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core.calls import outcome
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
 @codec.register(100)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallOpen:
     """Opens a call.
 
@@ -55,7 +55,7 @@
 
 
 @codec.register(101)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallBody:
     """Carries more of the request body."""
 
@@ -65,7 +65,7 @@
 
 
 @codec.register(102)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallCredit:
     """Grants the entry node credit to send more of the request body."""
 
@@ -74,7 +74,7 @@
 
 
 @codec.register(103)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallCancel:
     """Cancels the call."""
 
@@ -82,7 +82,7 @@
 
 
 @codec.register(104)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnswerHead:
     """Carries the head of the answer.
 
@@ -106,7 +106,7 @@
 
 
 @codec.register(105)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnswerBody:
     """Carries more of the answer's body; the last one carries the digest."""
 
@@ -117,7 +117,7 @@
 
 
 @codec.register(106)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnswerCredit:
     """Grants the owner credit to send more of the answer's body."""
 
@@ -126,7 +126,7 @@
 
 
 @codec.register(107)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnswerFailed:
     """Ends the call without a complete answer."""
 
@@ -136,7 +136,7 @@
 
 
 @codec.register(108)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class OutcomeQuery:
     """Asks for the outcome of a call whose stream broke.
 
@@ -150,7 +150,7 @@
 
 
 @codec.register(109)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class OutcomeRunning:
     """Says that the call is still queued or running; the answer will follow."""
 
--- a/src/monsoonpass/core/calls/outcome.py
+++ b/src/monsoonpass/core/calls/outcome.py
@@ -1,8 +1,9 @@
 """Outcomes of calls that got no complete answer, and the load of upstreams."""
 
-import dataclasses
 import enum
 
+from monsoonpass import immutable
+
 
 class Outcome(enum.StrEnum):
     """What is known about the effect of a failed call.
@@ -39,7 +40,7 @@
     LEDGER_UNAVAILABLE = "ledger-unavailable"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Failure:
     """The failure of a call, or of one of its attempts.
 
@@ -54,7 +55,7 @@
     retry_after_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Load:
     """The load of an upstream, as counted by its owner node.
 
--- a/src/monsoonpass/core/calls/owner_call.py
+++ b/src/monsoonpass/core/calls/owner_call.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from monsoonpass import immutable
 from monsoonpass.core.calls import outcome
 
 # Share of the time between objective and deadline in which a late answer is
@@ -94,7 +95,7 @@
         return (self.route, self.is_late)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class RefusedCall:
     """A call that is refused and will not be dispatched."""
 
--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import events
 from monsoonpass.core import node
@@ -19,7 +20,7 @@
 HEALTHY_MIN_SHARE = 0.5  # With a smaller healthy share, ejections are ignored.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Candidate:
     """An instance that could serve a call.
 
--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -12,6 +12,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.core.distribution import host_route
 from monsoonpass.core.distribution import packing
 
@@ -28,7 +29,7 @@
     LOW = 3
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Route:
     """A route of one service, selected by service name.
 
@@ -59,7 +60,7 @@
         return self.deadline_s
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class RouteMatch:
     """The result of looking up the route of a call.
 
@@ -107,7 +108,7 @@
 
 
 @codec.register(10)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Snapshot:
     """The full content of a configuration, as sent and stored."""
 
--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -1,9 +1,9 @@
 """Messages and disk records of submission and distribution."""
 
-import dataclasses
 import enum
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core.distribution import catalog
 
@@ -39,7 +39,7 @@
 
 
 @codec.register(40)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SubmitForward:
     """Forwards a submission to the leader.
 
@@ -56,7 +56,7 @@
 
 
 @codec.register(41)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SubmitReply:
     """Reports the outcome of a submission.
 
@@ -73,7 +73,7 @@
     leader: address_lib.Address | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class DataCentreMembers:
     """The descendants of a push's receiver in one data centre."""
 
@@ -83,7 +83,7 @@
 
 
 @codec.register(42)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Push:
     """Pushes a version down the distribution tree.
 
@@ -102,7 +102,7 @@
 
 
 @codec.register(43)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PushAck:
     """Acknowledges a push to the parent in the distribution tree."""
 
@@ -111,7 +111,7 @@
 
 
 @codec.register(59)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionHint:
     """Announces the sender's version in force to a member."""
 
@@ -119,7 +119,7 @@
 
 
 @codec.register(44)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Fetch:
     """Requests the changes after a version.
 
@@ -133,7 +133,7 @@
 
 
 @codec.register(45)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class FetchReply:
     """Replies to a `Fetch` with deltas, a snapshot or neither.
 
@@ -150,7 +150,7 @@
 
 
 @codec.register(46)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ColdRead:
     """Requests a quorum read of the last accepted version.
 
@@ -162,7 +162,7 @@
 
 
 @codec.register(47)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ColdReadReply:
     """Replies to a `ColdRead`.
 
@@ -182,7 +182,7 @@
 
 
 @codec.register(48)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class InForceRecord:
     """Disk record of the full configuration in force at this node."""
 
@@ -190,7 +190,7 @@
 
 
 @codec.register(49)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class InForceDelta:
     """Disk record of a change to the configuration in force."""
 
@@ -198,7 +198,7 @@
 
 
 @codec.register(60)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class BootstrapProbe:
     """Asks another bootstrap voter whether it belongs to a control group."""
 
@@ -206,7 +206,7 @@
 
 
 @codec.register(61)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class BootstrapStatus:
     """Replies to a `BootstrapProbe`.
 
@@ -220,7 +220,7 @@
 
 
 @codec.register(63)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class JoinGroup:
     """Offers the sender's disk as a replica to the control group."""
 
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -6,6 +6,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 
 IndexRange = tuple[int, int]  # First index and number of consecutive entries.
 
@@ -23,7 +24,7 @@
     UPLOAD = "upload"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class WeightedService:
     """A service and its share of the calls of a route.
 
@@ -97,7 +98,7 @@
         return codec.digest(self)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class RequestLimits:
     """Size and time limits on callers' requests.
 
--- a/src/monsoonpass/core/distribution/linearizable_read.py
+++ b/src/monsoonpass/core/distribution/linearizable_read.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -21,7 +22,7 @@
 PENDING_READS_MAX = 64
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ReadUnavailable:
     """Result of a read whose version no quorum confirmed in time."""
 
--- a/src/monsoonpass/core/distribution/submission.py
+++ b/src/monsoonpass/core/distribution/submission.py
@@ -8,6 +8,7 @@
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -57,7 +58,7 @@
     last_forwarded_s: float = float("-inf")
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class QueuedSubmission:
     """A submission in the leader's queue.
 
--- a/src/monsoonpass/core/distribution/survey.py
+++ b/src/monsoonpass/core/distribution/survey.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import bounded_mapping
 from monsoonpass.core import effects
@@ -26,7 +27,7 @@
 
 
 @codec.register(90)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PlaceQuery:
     """Requests a survey of the receiver's data centre."""
 
@@ -34,7 +35,7 @@
 
 
 @codec.register(91)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionQuery:
     """Requests the version in force at a member."""
 
@@ -42,7 +43,7 @@
 
 
 @codec.register(92)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionReply:
     """Reports the version in force at a member.
 
@@ -59,7 +60,7 @@
     in_force_for_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class VersionCount:
     """The number of nodes at which a version is in force."""
 
@@ -67,7 +68,7 @@
     nodes: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class OutdatedMember:
     """A node behind the newest version observed in its data centre.
 
@@ -83,7 +84,7 @@
 
 
 @codec.register(93)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Place:
     """The result of a survey of one data centre.
 
@@ -104,7 +105,7 @@
     laggards: tuple[OutdatedMember, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Survey:
     """The result of a survey of the whole mesh.
 
@@ -123,21 +124,21 @@
     missing: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SurveyRequested(events.Event):
     """An operator requested a survey of the versions in force."""
 
     request_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class DataCentreSurveyTimeout(timers.Timer):
     """The time for the members' replies has passed."""
 
     number: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class MeshSurveyTimeout(timers.Timer):
     """The time for the data centres' results has passed."""
 
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -4,18 +4,19 @@
 import math
 from typing import Any
 
+from monsoonpass import immutable
 from monsoonpass.core import address
 from monsoonpass.core import log_events
 from monsoonpass.core import timers
 from monsoonpass.core.calls import outcome
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Effect:
     """Base of all effects."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Send(Effect):
     """Send a message over the stream to a peer: in order, best effort."""
 
@@ -23,7 +24,7 @@
     message: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SendDatagram(Effect):
     """Send a message to a peer in one datagram."""
 
@@ -31,7 +32,7 @@
     message: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class WriteDisk(Effect):
     """Append records to the journal and sync the file.
 
@@ -46,7 +47,7 @@
     replace: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SetTimer(Effect):
     """Start a timer; replaces an equal timer that is already running."""
 
@@ -54,14 +55,14 @@
     delay_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CancelTimer(Effect):
     """Stop a timer."""
 
     timer: timers.Timer
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Reply(Effect):
     """Answer a request that came with an event.
 
@@ -74,7 +75,7 @@
     result: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Log(Effect):
     """Write a numbered event to the log.
 
@@ -87,7 +88,7 @@
     fields: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Forward(Effect):
     """Send a call to the node of another instance.
 
@@ -120,7 +121,7 @@
     objective_s: float = math.inf
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CancelForward(Effect):
     """Cancel an attempt; a later answer to it is discarded."""
 
@@ -128,7 +129,7 @@
     attempt: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SwitchUpstream(Effect):
     """Send further calls to another process as the own upstream.
 
@@ -144,7 +145,7 @@
     process_number: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Dispatch(Effect):
     """Run a call on this node's own upstream.
 
@@ -163,14 +164,14 @@
     idempotent: bool = True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AbortDispatch(Effect):
     """Abort a call that is running on this node's own upstream."""
 
     owner_call_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class FailCall(Effect):
     """Answer a call with its final failure.
 
@@ -186,7 +187,7 @@
     context: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ReplayAnswer(Effect):
     """Answer a call with the stored answer to its idempotency key."""
 
@@ -196,6 +197,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class StopCompleted(Effect):
     """Report that the planned stop is over and the process may exit."""
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -1,16 +1,16 @@
 """Events: the inputs of the reducer, each with its time and random bits."""
 
-import dataclasses
 import math
 from typing import Any
 
+from monsoonpass import immutable
 from monsoonpass.core import address
 from monsoonpass.core import timers
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.distribution import catalog
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Event:
     """Base of all events.
 
@@ -24,7 +24,7 @@
     random_bits: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Started(Event):
     """The process started.
 
@@ -38,7 +38,7 @@
     journal: tuple[Any, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PeerMessage(Event):
     """A message arrived from a peer, over a stream or in a datagram."""
 
@@ -46,40 +46,40 @@
     message: Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class LinkLost(Event):
     """The last stream to a peer ended, or none could be opened."""
 
     instance: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class TimerFired(Event):
     """A timer fired."""
 
     timer: timers.Timer
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class DiskSynced(Event):
     """All writes up to a sequence number are durable."""
 
     sequence: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class DiskFailed(Event):
     """A write failed; no later write is durable until this one succeeds."""
 
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class DiskRecovered(Event):
     """A write that failed earlier has succeeded."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SubmitRequested(Event):
     """An operator submitted a valid configuration.
 
@@ -95,14 +95,14 @@
     base_version: int = -1
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ConfigReadRequested(Event):
     """An operator requested the last accepted configuration."""
 
     request_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class UpstreamAnnounced(Event):
     """The upstream of this instance announced itself.
 
@@ -133,7 +133,7 @@
     request_id: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class UpstreamDraining(Event):
     """The upstream of this instance gave notice of leaving.
 
@@ -147,7 +147,7 @@
     started_ms: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallArrived(Event):
     """A call arrived at this node from a caller.
 
@@ -173,7 +173,7 @@
     body_rest_bytes: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class KeyedCallAnswered(Event):
     """A call with an idempotency key received its complete answer.
 
@@ -190,14 +190,14 @@
     body: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class CallerDisconnected(Event):
     """The caller closed its connection before the answer was complete."""
 
     call_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PeerCallArrived(Event):
     """A peer forwarded a call for this node's own upstream.
 
@@ -225,14 +225,14 @@
     objective_s: float = math.inf
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PeerCallCancelled(Event):
     """The peer cancelled a call that it had forwarded."""
 
     owner_call_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class OwnerCallFinished(Event):
     """A call on this node's own upstream ended.
 
@@ -252,7 +252,7 @@
     silent: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AttemptHeadReceived(Event):
     """The head of the answer to an attempt arrived from the owner node.
 
@@ -267,7 +267,7 @@
     load: outcome.Load | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AttemptEnded(Event):
     """An attempt ended.
 
@@ -284,12 +284,12 @@
     load: outcome.Load | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class StopRequested(Event):
     """A planned stop began."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SettingsChanged(Event):
     """The settings that can be reloaded while the node runs have changed.
 
--- a/src/monsoonpass/core/keys/keyed_calls.py
+++ b/src/monsoonpass/core/keys/keyed_calls.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -30,7 +31,7 @@
 Verdict = ledger.Verdict
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ClaimToken:
     """Identifies the sender of a claim that the leader has proposed."""
 
@@ -38,7 +39,7 @@
     call_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SettleToken:
     """Identifies the sender of a settlement that the leader has proposed."""
 
@@ -67,12 +68,12 @@
     send_count: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Granted:
     """The call may be dispatched."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Denied:
     """The call must not be dispatched.
 
--- a/src/monsoonpass/core/keys/ledger.py
+++ b/src/monsoonpass/core/keys/ledger.py
@@ -9,6 +9,7 @@
 import enum
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 
 CLAIM_LEASE_MS = 120_000  # Then the outcome of an unsettled claim is unknown.
@@ -51,7 +52,7 @@
     NOT_LEADER = 6
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Claimant:
     """A call that claims a key: its entry node and its number there."""
 
@@ -60,7 +61,7 @@
 
 
 @codec.register(72)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ClaimKey:
     """Command that claims a key.
 
@@ -80,7 +81,7 @@
 
 
 @codec.register(73)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SettleKey:
     """Command that records the outcome of the call that claimed a key.
 
@@ -108,7 +109,7 @@
     now_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class KeyRecord:
     """Record of a key in the ledger."""
 
@@ -124,7 +125,7 @@
     expires_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ClaimResult:
     """The verdict on a claim, and the record of an earlier call or None."""
 
@@ -133,7 +134,7 @@
 
 
 @codec.register(110)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ClaimRequest:
     """Asks the leader to claim a key for a call at the sender."""
 
@@ -144,7 +145,7 @@
 
 
 @codec.register(111)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class ClaimReply:
     """Answers a `ClaimRequest`."""
 
@@ -155,7 +156,7 @@
 
 
 @codec.register(112)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SettleRequest:
     """Asks the leader to settle a key claimed by a call at the sender."""
 
@@ -170,7 +171,7 @@
 
 
 @codec.register(113)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SettleReply:
     """Confirms that a settlement is durable, or names the leader to ask."""
 
--- a/src/monsoonpass/core/membership/directory.py
+++ b/src/monsoonpass/core/membership/directory.py
@@ -6,10 +6,10 @@
 centre, so that only one query per service and interval crosses each link.
 """
 
-import dataclasses
 import heapq
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import bounded_mapping
 from monsoonpass.core import effects
@@ -34,7 +34,7 @@
 
 
 @codec.register(80)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Greeting:
     """Introduces the sender's data centre to another one.
 
@@ -57,7 +57,7 @@
 
 
 @codec.register(81)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class EndpointQuery:
     """Requests the endpoints of a service.
 
@@ -72,7 +72,7 @@
 
 
 @codec.register(82)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class EndpointReply:
     """Carries the endpoints of a service in one data centre."""
 
@@ -81,7 +81,7 @@
     members: tuple[member_lib.Member, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Endpoints:
     """The last received endpoints of a service in one data centre.
 
--- a/src/monsoonpass/core/membership/leave_notice.py
+++ b/src/monsoonpass/core/membership/leave_notice.py
@@ -12,13 +12,15 @@
 from collections.abc import Iterable
 import dataclasses
 
+from monsoonpass import immutable
+
 # Longer than a lossy connection or a suspended process delays an announcement.
 # Also the longest time for which a wrong clock blocks the next start.
 ANNOUNCEMENT_DELAY_MAX_S = 30.0
 NOTICES_MAX = 16  # Names; few upstreams leave one instance within the delay.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class LeaveNotice:
     """The notices of leaving under one name, merged into one.
 
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -1,9 +1,9 @@
 """Member records and the messages of the membership protocol."""
 
-import dataclasses
 import enum
 
 from monsoonpass import codec
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core.membership import leave_notice as notice_lib
 
@@ -32,7 +32,7 @@
 
 
 @codec.register(50)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Member:
     """Member record of a node and its upstream.
 
@@ -86,7 +86,7 @@
 
 
 @codec.register(51)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Ping:
     """Probes a member, which answers with an `Ack`.
 
@@ -104,7 +104,7 @@
 
 
 @codec.register(52)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Ack:
     """Answers a `Ping`; its fields describe the answering node."""
 
@@ -115,7 +115,7 @@
 
 
 @codec.register(53)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class PingRequest:
     """Asks a member to ping another member and to relay its `Ack`."""
 
@@ -124,7 +124,7 @@
 
 
 @codec.register(54)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Rumour:
     """Carries membership updates; needs no answer."""
 
@@ -132,7 +132,7 @@
 
 
 @codec.register(55)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SyncRequest:
     """Requests the records in the buckets whose digests differ.
 
@@ -146,7 +146,7 @@
 
 
 @codec.register(56)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class SyncReply:
     """Carries the records in the buckets that differ.
 
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from monsoonpass import immutable
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import log_events
@@ -28,7 +29,7 @@
 Reason = outcome.Reason
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnnouncementResult:
     """Result of an announcement.
 
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import Any
 
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core.agreement import control_state_machine
 from monsoonpass.core.agreement import replica as replica_lib
@@ -17,7 +18,7 @@
 from monsoonpass.core.membership import own_upstream_state as upstream_lib
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Seed:
     """A node listed in the settings, for joining the mesh.
 
@@ -32,7 +33,7 @@
     region: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Settings:
     """The settings that the reducer uses.
 
@@ -185,7 +186,7 @@
         return [m for m in members if m.instance != self.own_record.instance]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Staged:
     """A configuration that is being written to the journal.
 
--- a/src/monsoonpass/errors.py
+++ b/src/monsoonpass/errors.py
@@ -1,14 +1,15 @@
 """The exception hierarchy of monsoonpass."""
 
 from collections.abc import Sequence
-import dataclasses
+
+from monsoonpass import immutable
 
 
 class MonsoonpassError(Exception):
     """Base class of all errors that this package raises."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Issue:
     """One fault found in an input, with its location.
 
--- a/src/monsoonpass/formats/handshake.py
+++ b/src/monsoonpass/formats/handshake.py
@@ -1,11 +1,11 @@
 """Mutual authentication of nodes, on streams and for datagrams."""
 
-import dataclasses
 import hashlib
 import hmac
 
 from monsoonpass import codec
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 
 PROTOCOL_VERSION = 3
@@ -15,7 +15,7 @@
 
 
 @codec.register(1)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Hello:
     """The first message that each side of a stream sends.
 
@@ -37,7 +37,7 @@
 
 
 @codec.register(2)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Proof:
     """The second message of each side, signed as in `sign_hello`."""
 
@@ -118,7 +118,7 @@
 
 
 @codec.register(3)
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Envelope:
     """The content of a datagram: its sender and one encoded message."""
 
--- a/src/monsoonpass/formats/header_names.py
+++ b/src/monsoonpass/formats/header_names.py
@@ -1,9 +1,9 @@
 """Names of the HTTP headers between callers, nodes and upstreams."""
 
-import dataclasses
+from monsoonpass import immutable
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class HeaderNames:
     """Header names in lower case; a header with an empty name is not used.
 
--- a/src/monsoonpass/runtime/exchange.py
+++ b/src/monsoonpass/runtime/exchange.py
@@ -3,11 +3,11 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 
 import anyio
 
+from monsoonpass import immutable
 from monsoonpass.core.calls import call_messages as messages
 from monsoonpass.core.calls import outcome
 from monsoonpass.runtime import tracing
@@ -15,7 +15,7 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class AnswerPart:
     """A part of the answer to a caller, or the event that ends the call.
 
--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -1,7 +1,6 @@
 """Pooled HTTP/1.1 connections to the local upstream, built on h11 and anyio."""
 
 from collections.abc import AsyncIterator
-import dataclasses
 import re
 import select
 
@@ -10,6 +9,7 @@
 import h11
 
 from monsoonpass import errors
+from monsoonpass import immutable
 from monsoonpass.runtime import parse_throttle
 
 CONNECT_TIMEOUT_S = 0.5  # The upstream is on the same instance.
@@ -33,7 +33,7 @@
 BODY_PART_BYTES = 64 * 1024  # Small pieces of a body are merged up to this.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class Head:
     """Status and headers of an upstream's response."""
 
--- a/src/monsoonpass/standin/local_mesh.py
+++ b/src/monsoonpass/standin/local_mesh.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Sequence
-import dataclasses
 import pathlib
 import random
 import socket
@@ -11,6 +10,7 @@
 import anyio.abc
 import httpx
 
+from monsoonpass import immutable
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.runtime import daemon as daemon_lib
 from monsoonpass.standin import simulated_upstream
@@ -24,7 +24,7 @@
 _reservations: collections.deque[socket.socket] = collections.deque()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@immutable.dataclass
 class NodeSpec:
     """The specification of a local node.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,9 @@
 import os
 import pathlib
 
+# Read when the package is imported, so it is set before any other import.
+os.environ["MONSOONPASS_CHECK_IMMUTABLE"] = "1"
+
 import hypothesis
 import pytest
 
