--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -30,7 +30,9 @@
 # Cost of another hop, as a share of the service time; a longer wait outweighs
 # the hop.
 REROUTE_WAIT_SHARE = 0.1
-SILENCE_FACTOR = 5.0  # Silence that counts as shed, as a multiple of the usual.
+# Silence after which a call counts as not queued by the upstream, as a multiple
+# of the usual time.
+SILENCE_FACTOR = 5.0
 PROBE_WEIGHT = 0.5  # Weight of a probe's sample, its route's only one.
 
 
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -13,6 +13,7 @@
 from monsoonpass.core import timers
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import call as call_lib
+from monsoonpass.core.calls import giving_up
 from monsoonpass.core.calls import hedging
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import owner_call as owner_call_lib
@@ -296,7 +297,7 @@
     for attempt in call.attempts.values():
         if attempt.instance != own:
             state.routing.record_timeout(attempt.instance, event.now_s)
-    return attempts.give_up(state, event, call, Reason.DEADLINE)
+    return giving_up.give_up(state, event, call, Reason.DEADLINE)
 
 
 def _refusal_at_arrival(state: node.Node) -> outcome.Reason | None:
--- a/src/monsoonpass/core/calls/hedging.py
+++ b/src/monsoonpass/core/calls/hedging.py
@@ -12,6 +12,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import node
 from monsoonpass.core import timers
+from monsoonpass.core.calls import admission
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import routing
@@ -20,7 +21,6 @@
 SILENCE_MIN_S = 0.05  # Shortest silence; a queue at the upstream takes longer.
 SAMPLES_MIN = 50  # Latencies of a route needed before it is hedged.
 HEDGE_FACTOR = 2.0  # Hedge delay, as a multiple of the median latency.
-SILENCE_FACTOR = 5.0  # Silence that counts as mute, as such a multiple.
 
 
 def arm(state: node.Node, call: call_lib.Call) -> list[effects.Effect]:
@@ -67,7 +67,7 @@
 def _silent_at_s(state: node.Node, call: call_lib.Call) -> float:
     """Return when the silence of a call's attempts counts as mute."""
     median = state.routing.median(call.statistics_key)
-    silence_s = max(median.value_s * SILENCE_FACTOR, SILENCE_MIN_S)
+    silence_s = max(median.value_s * admission.SILENCE_FACTOR, SILENCE_MIN_S)
     started_s = max(attempt.started_s for attempt in call.attempts.values())
     return started_s + silence_s
 
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -15,6 +15,7 @@
 from monsoonpass.core.agreement import replication
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import call_handlers as _call_handlers
+from monsoonpass.core.calls import giving_up
 from monsoonpass.core.distribution import cold_start
 from monsoonpass.core.distribution import survey as _survey
 from monsoonpass.core.distribution import version_distribution
@@ -129,7 +130,7 @@
     if not idle and event.now_s < state.stop_deadline_s + GIVE_UP_FLUSH_S:
         is_over = event.now_s >= state.stop_deadline_s
         return [
-            *(attempts.give_up_all(state, event) if is_over else []),
+            *(giving_up.give_up_all(state, event) if is_over else []),
             effects.SetTimer(timer=timer, delay_s=DRAIN_CHECK_INTERVAL_S),
         ]
     # The process only sends its last answers now, and takes no more calls.
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -141,7 +141,7 @@
     def test_stop_takes_no_call_that_it_cannot_finish(self, entry, path):
         """Kept connections bring calls until the process ends.
 
-        Guard: `stop_fit.fits` in attempts and `_fits_before_close` in
+        Guard: `fits_before_stop` in attempts and `_latest_start_s` in
         Admission.
         """
         scene = StopScene()
@@ -188,7 +188,7 @@
     def test_running_call_is_given_up_with_a_true_answer_before_the_end(self):
         """A call takes longer than the whole grace.
 
-        Guard: `attempts.give_up_all` in the reducer's handler of DrainCheck.
+        Guard: `giving_up.give_up_all` in the reducer's handler of DrainCheck.
         """
         scene = StopScene(deadline_s=90.0)
         for name in ("o0", "o1"):
