--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -172,11 +172,13 @@
         useful_until_s = call.useful_until_s
         if wait_s and not call.has_returned_late:
             useful_until_s = call.objective_deadline_s
-        is_late = done_s > min(useful_until_s, call.deadline_s)
+        is_too_late = done_s > min(useful_until_s, call.deadline_s)
         call.is_probe = (
-            is_late and not wait_s and not self._has_running_call(call.route)
+            is_too_late
+            and not wait_s
+            and not self._has_running_call(call.route)
         )
-        if is_late and not call.is_probe:
+        if is_too_late and not call.is_probe:
             excess_s = done_s - min(call.objective_deadline_s, call.deadline_s)
             age_s = self._overload_age.record_refusal(call.priority, now_s)
             retry_after_s = max(excess_s, age_s)
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -2,7 +2,8 @@
 
 It enforces the limits of the configuration in force on requests, reports a
 disconnect of the caller immediately, and answers every request that it has read
-before it closes the connection.
+before it closes the connection. Requests that a caller sends before it has the
+answer to an earlier one are served in turn.
 """
 
 from collections.abc import Awaitable
