--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -14,6 +14,7 @@
 import bisect
 import math
 
+from monsoonpass.core.calls import arrival_rates
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import overload_age
 from monsoonpass.core.calls import owner_call as owner_call_lib
@@ -23,7 +24,6 @@
 from monsoonpass.core.calls import stop_fit
 from monsoonpass.core.membership import member as member_lib
 
-RATE_WINDOW_S = 0.5  # Window in which arrivals of short calls are counted.
 RESERVE_MARGIN = 1.5  # Slots reserved for short calls, per slot they need.
 RETRY_AFTER_MIN_S = 0.1  # An earlier retry would find the same queue.
 RETRY_AFTER_MAX_S = 2.0  # By then a load peak has passed.
@@ -60,9 +60,7 @@
         self._times = service_times.ServiceTimes()
         self._pace = queue_pace.QueuePace()
         self._overload_age = overload_age.OverloadAge()
-        self._short_arrival_rates: dict[int, float] = {}
-        self._short_arrivals: dict[int, int] = {}
-        self._window_start_s = 0.0
+        self._short_arrivals = arrival_rates.ArrivalRates()
 
     @property
     def slots(self) -> int:
@@ -163,7 +161,9 @@
                 _make_refusal(call, outcome.Reason.DRAINING, None)
             )
             return decision
-        self._count_arrival(call, now_s)
+        self._short_arrivals.advance(now_s)
+        if not self.is_long(call):
+            self._short_arrivals.count(call.priority)
         service_time_s = self.expected_service_time_s(call.route)
         call.is_late = now_s + service_time_s > call.objective_deadline_s
         call.queued_ahead = self._queued_ahead(call)
@@ -352,11 +352,7 @@
         Args:
             priority: Priority of the long call.
         """
-        rate = sum(
-            rate
-            for short_priority, rate in self._short_arrival_rates.items()
-            if short_priority <= priority
-        )
+        rate = self._short_arrivals.rate(priority)
         expected = rate * self._times.median_s * RESERVE_MARGIN
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
@@ -425,24 +421,6 @@
                 kept.append(item)
         self._queue = kept
 
-    def _count_arrival(
-        self, call: owner_call_lib.OwnerCall, now_s: float
-    ) -> None:
-        """Count a call towards the arrival rates of short calls."""
-        elapsed_s = now_s - self._window_start_s
-        if elapsed_s >= RATE_WINDOW_S:
-            for priority in self._short_arrivals:
-                rate = self._short_arrivals[priority] / elapsed_s
-                previous_rate = self._short_arrival_rates.get(priority, 0.0)
-                self._short_arrival_rates[priority] = (
-                    rate + previous_rate
-                ) / 2.0
-                self._short_arrivals[priority] = 0
-            self._window_start_s = now_s
-        if not self.is_long(call):
-            count = self._short_arrivals.get(call.priority, 0)
-            self._short_arrivals[call.priority] = count + 1
-
 
 def _make_refusal(
     call: owner_call_lib.OwnerCall, reason: outcome.Reason, wait_s: float | None
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -101,6 +101,49 @@
     return attempts.try_next(state, event, call, failure)
 
 
+@step.handle_timer.register
+def _(
+    timer: timers.EndpointWaitTimeout,
+    event: events.TimerFired,
+    state: node.Node,
+) -> list[effects.Effect]:
+    return _resume_awaiting_endpoints(state, event, timer.service)
+
+
+@step.handle_message.register
+def _(
+    message: directory.EndpointReply,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    result, is_complete = directory.store_endpoints(state, event, message)
+    if is_complete:
+        result += _resume_awaiting_endpoints(state, event, message.service)
+    return result
+
+
+def _resume_awaiting_endpoints(
+    state: node.Node, event: events.Event, service: str
+) -> list[effects.Effect]:
+    """Send the calls that waited for the remote endpoints of a service."""
+    call_ids = state.routing.awaiting_endpoints.pop(service, [])
+    if not call_ids:
+        return []
+    result: list[effects.Effect] = [
+        effects.CancelTimer(timer=timers.EndpointWaitTimeout(service=service))
+    ]
+    for call_id in call_ids:
+        call = state.calls.get(call_id)
+        if call is not None and not call.attempts:
+            failure = call_lib.not_run_failure(
+                Reason.NO_UPSTREAM, attempts.RETRY_AFTER_S
+            )
+            result += attempts.try_next(
+                state, event, call, failure, may_await_endpoints=False
+            )
+    return result
+
+
 @step.handle_message.register
 def _(
     message: ledger.ClaimReply, event: events.PeerMessage, state: node.Node
