--- a/review/shared/platform_stand_in.py
+++ b/review/shared/platform_stand_in.py
@@ -160,6 +160,14 @@
         """Return the exit code of the process if it has ended."""
         return None if self.process is None else self.process.poll()
 
+    def memory_mb(self) -> int:
+        """Return the resident memory of the process; 0 if there is none."""
+        if self.process is None or self.process.poll() is not None:
+            return 0
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        found = re.search(r"VmRSS:\s+(\d+) kB", path.read_text())
+        return int(found[1]) // 1024 if found else 0
+
     def last_log(self) -> str:
         """Return the end of the last process's log."""
         path = self.folder / f"log-{self.starts}.txt"
