--- a/review/shared/platform_stand_in.py
+++ b/review/shared/platform_stand_in.py
@@ -394,7 +394,7 @@
             "host": f"{service}.example",
             "path": f"/{prefix}/",
             "kind": kind,
-            "deadline_s": 1.5,
+            "deadline_s": 0.8 if prefix == "once" else 1.5,
             "objective_s": 0.4,
             "priority": 1,
             "service": service,
