Do not reuse a connection whose last write did not complete

What callers saw: an upstream that answered an upload early and read on got the head of another request where the end of the upload was due (UNASKED); the other caller got 502 or its upload was lost.

Cause: the head of the answer cancels the task that sends the rest of the body. `send_body` lets h11 pack the chunk first, and anyio's `send` raises the cancellation before it writes. If this hits the last chunk, h11 counts the request as sent, and the pool gave the connection to the next call.

Why it works: a connection is reusable only if its last write returned. A cancelled or failed write leaves the mark, so the connection is closed and the upstream sees the end of the stream in place of foreign bytes.

--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -55,6 +55,9 @@
         self.process_number = process_number
         self._stream = stream
         self._must_close = False
+        # Whether the last write has not completed. The parser counts bytes as
+        # sent that a cancelled write may not have passed to the socket.
+        self._write_incomplete = False
         self._throttle = parse_throttle.ParseThrottle()
         self._request: h11.Request | None = None
         self.idle_max_s = IDLE_MAX_S
@@ -69,7 +72,11 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        return self._h11.our_state is h11.IDLE and not self._must_close
+        return (
+            self._h11.our_state is h11.IDLE
+            and not self._must_close
+            and not self._write_incomplete
+        )
 
     @property
     def is_stale(self) -> bool:
@@ -290,12 +297,14 @@
                 raise errors.UpstreamResponseError(str(error)) from error
 
     async def _send(self, data: bytes) -> None:
+        self._write_incomplete = True
         try:
             await self._stream.send(data)
         except (anyio.BrokenResourceError, OSError) as error:
             raise errors.UpstreamResponseError(
                 "the upstream closed the connection"
             ) from error
+        self._write_incomplete = False
 
 
 def _is_response_to(
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -21,20 +21,23 @@
     ).encode()
 
 
-def run_with_upstream(responses: list[bytes], scenario) -> None:
+def run_with_upstream(
+    responses: list[bytes], scenario, *, request_end: bytes = b"\r\n\r\n"
+) -> None:
     """Run a scenario against an upstream with the given responses.
 
     Args:
         responses: Bytes that the upstream sends, one entry for each request
             on a connection.
         scenario: Called with the connection pool.
+        request_end: The upstream answers a request once it ends with this.
     """
 
     async def serve(stream):
         async with stream:
             for data in responses:
                 request = b""
-                while not request.endswith(b"\r\n\r\n"):
+                while not request.endswith(request_end):
                     request += await stream.receive()
                 await stream.send(data)
             await anyio.sleep(5)
@@ -221,6 +224,30 @@
         run_with_upstream([head + b"\r\n\r\n" + body], scenario)
 
 
+class TestEarlyResponse:
+    """The upstream answers before it has read the whole request body."""
+
+    def test_connection_with_an_unsent_body_end_is_not_reused(self):
+        """Guards against another request's head in place of a body's end."""
+
+        async def scenario(pool):
+            connection = await pool.acquire(0.0)
+            headers = (*HEADERS, (b"content-length", b"8"))
+            await connection.send_head("POST", b"/", headers, b"half")
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await connection.send_body(b"rest", ended=True)
+            await connection.receive_head(CALL_ID)
+            async for _ in connection.receive_body():
+                pass
+            await pool.release(connection, 0.0, reuse=True)
+            assert not connection.is_reusable
+            assert await pool.acquire(0.0) is not connection
+
+        early = http_response("7", "early")
+        run_with_upstream([early], scenario, request_end=b"half")
+
+
 class TestReplacedProcess:
     """Another process has replaced the upstream."""
 
