Store notices of leaving in the control group before acknowledging them

What callers saw: after all processes had been killed, half of a service's calls went to an upstream whose deregistration had been acknowledged (DRAIN), until it exited.

Cause: notices were held in memory only, by the node beside the upstream and by the members that had heard of them. A heartbeat from before the notice that arrives at a new process looks like news of a ready upstream.

Why it works: the notice is a command in the replicated log, and is acknowledged once it is committed, which takes a quorum and the tolerated losses + 1 disks. A new process gets the notices with its first read that a quorum confirms, so from a leader that has applied all of them, and offers no upstream before that.

A node that is cut off from the control group and restarts now offers its upstream after 4 s, not 1 s: the bound in test_upstream_is_offered_if_no_member_answers follows, since within 1 s such a node cannot know that no notice binds it.

`pick_leader` and `propose_command` moved out of keyed_calls, which had them for itself.

--- a/src/monsoonpass/core/agreement/control_group.py
+++ b/src/monsoonpass/core/agreement/control_group.py
@@ -25,6 +25,7 @@
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.distribution import version_distribution
 from monsoonpass.core.keys import keyed_calls
+from monsoonpass.core.membership import notice_storage
 
 MAINTENANCE_INTERVAL_S = 0.5
 
@@ -84,6 +85,7 @@
         if isinstance(notice, replica_lib.Applied):
             result += submission.handle_applied(state, event, notice)
             result += keyed_calls.handle_applied(state, notice)
+            result += notice_storage.handle_applied(state, notice)
         elif isinstance(notice, replica_lib.Restored):
             result += version_distribution.install_restored(state, event)
         elif isinstance(notice, replica_lib.ReadReady):
--- a/src/monsoonpass/core/agreement/control_state_machine.py
+++ b/src/monsoonpass/core/agreement/control_state_machine.py
@@ -9,6 +9,7 @@
 from monsoonpass import immutable
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.keys import ledger
+from monsoonpass.core.membership import stored_notices
 
 RECENT_VERSIONS_MAX = 1000
 
@@ -51,16 +52,18 @@
     snapshot: catalog_lib.Snapshot
     recent: tuple[RecentVersion, ...]
     keys: tuple[ledger.KeyRecord, ...]
+    notices: tuple[stored_notices.InstanceNotices, ...] = ()
 
 
 class ControlStateMachine:
-    """The accepted configuration, recent versions and idempotency keys.
+    """The replicated state: configuration, idempotency keys, notices.
 
     Attributes:
         catalog: The last accepted configuration.
         recent: Recently accepted versions, oldest first, at most
             `RECENT_VERSIONS_MAX`.
         ledger: The idempotency keys.
+        notices: Notices of leaving of upstreams.
     """
 
     def __init__(self) -> None:
@@ -69,6 +72,7 @@
             maxlen=RECENT_VERSIONS_MAX
         )
         self.ledger = ledger.Ledger()
+        self.notices = stored_notices.StoredNotices()
 
     def apply(self, command: bytes) -> Any:
         """Apply a committed command deterministically and return its result."""
@@ -96,6 +100,7 @@
             snapshot=self.catalog.snapshot(),
             recent=tuple(self.recent),
             keys=self.ledger.records(),
+            notices=self.notices.records(),
         )
         return codec.encode(state)
 
@@ -105,11 +110,13 @@
         if not data:
             self.catalog = catalog_lib.EMPTY_CATALOG
             self.ledger.restore(())
+            self.notices.restore(())
             return
         state = codec.decode(data)
         self.catalog = catalog_lib.from_snapshot(state.snapshot)
         self.recent.extend(state.recent)
         self.ledger.restore(state.keys)
+        self.notices.restore(state.notices)
 
     def find_recent(self, version: int) -> RecentVersion | None:
         """Return a recently accepted version, or None."""
@@ -137,3 +144,10 @@
 @_apply.register
 def _(command: ledger.SettleKey, state_machine: ControlStateMachine) -> Any:
     return state_machine.ledger.settle(command)
+
+
+@_apply.register
+def _(
+    command: stored_notices.RecordNotice, state_machine: ControlStateMachine
+) -> Any:
+    return state_machine.notices.record(command)
--- a/src/monsoonpass/core/agreement/voter_lookup.py
+++ b/src/monsoonpass/core/agreement/voter_lookup.py
@@ -16,6 +16,16 @@
     return state.control.leader
 
 
+def pick_leader(
+    state: node.Node, event: events.Event, previous_attempts: int
+) -> address_lib.Address | None:
+    """Return this node if it leads, else as `pick_leader_or_voter`."""
+    replica = state.control.replica
+    if replica is not None and replica.is_leader:
+        return state.settings.address
+    return pick_leader_or_voter(state, event, previous_attempts)
+
+
 def pick_leader_or_voter(
     state: node.Node, event: events.Event, previous_attempts: int
 ) -> address_lib.Address | None:
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.distribution import config_messages as messages
 from monsoonpass.core.distribution import linearizable_read
 from monsoonpass.core.distribution import submission
+from monsoonpass.core.membership import own_upstream
 
 RETRY_BASE_S = 0.2  # Shorter than an election after all voters restart.
 # Nodes that are notified of the next leader; further nodes retry on a timer.
@@ -55,6 +56,7 @@
                 fields={"version": config.version},
             )
         )
+    result += own_upstream.merge_durable_notices(state, event, message.notices)
     if config.ready:
         result.append(effects.CancelTimer(timer=timers.ColdStartRetry()))
     if message.version > config.newest.version:
@@ -199,12 +201,15 @@
     Returns:
         The effect that sends the reply.
     """
-    version = state.control.state_machine.catalog.version
+    state_machine = state.control.state_machine
+    version = state_machine.catalog.version
+    notices = state_machine.notices.find(requester.instance)
     message = messages.ColdReadReply(
         confirmed=confirmed,
         version=version if confirmed else 0,
         leader=voter_lookup.known_leader(state),
         voters=voter_lookup.known_voters(state),
         read_id=read_id,
+        notices=notices if confirmed and not read_id else (),
     )
     return effects.Send(to=requester, message=message)
--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -6,6 +6,7 @@
 from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core.distribution import catalog
+from monsoonpass.core.membership import leave_notice as notice_lib
 
 
 class SubmitStatus(enum.StrEnum):
@@ -172,6 +173,8 @@
         leader: Address of the leader, if known.
         voters: Addresses of the voters.
         read_id: Copied from the request.
+        notices: If confirmed, the stored notices of leaving from the
+            receiver's upstreams.
     """
 
     confirmed: bool
@@ -179,6 +182,7 @@
     leader: address_lib.Address | None
     voters: tuple[address_lib.Address, ...]
     read_id: int = 0
+    notices: tuple[notice_lib.LeaveNotice, ...] = ()
 
 
 @codec.register(48)
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -141,10 +141,12 @@
         upstream_id: Name of the upstream; empty for the current one, whatever
             its name.
         started_ms: Wall clock time of the upstream's start; None if omitted.
+        request_id: Request to reply to; 0 for none.
     """
 
     upstream_id: str = ""
     started_ms: int | None = None
+    request_id: int = 0
 
 
 @immutable.dataclass
--- a/src/monsoonpass/core/keys/keyed_calls.py
+++ b/src/monsoonpass/core/keys/keyed_calls.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 
-from monsoonpass import codec
 from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import effects
@@ -15,9 +14,8 @@
 from monsoonpass.core import node
 from monsoonpass.core import step
 from monsoonpass.core import timers
-from monsoonpass.core.agreement import consensus_records as records
+from monsoonpass.core.agreement import proposals
 from monsoonpass.core.agreement import replica as replica_lib
-from monsoonpass.core.agreement import replication
 from monsoonpass.core.agreement import voter_lookup
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.keys import ledger
@@ -25,7 +23,6 @@
 RESEND_INTERVAL_S = 0.3  # Time after which a claim or settlement is sent again.
 CLAIM_TIMEOUT_S = 2.0  # Time without a reply after which a call is refused.
 SETTLE_RESENDS_MAX = 20
-PENDING_PROPOSALS_MAX = 4096  # Uncommitted proposals of the leader.
 ABANDONED_CLAIMS_MAX = 1024  # Claims kept in case they are granted late.
 
 Verdict = ledger.Verdict
@@ -231,7 +228,7 @@
         ),
         now_ms=state.wall_ms(event.now_s),
     )
-    proposed = _propose(state, event, command, token)
+    proposed = proposals.propose_command(state, event, command, token)
     if proposed is None:
         return [_claim_reply(state, token, Verdict.NOT_LEADER, None)]
     return proposed
@@ -255,7 +252,7 @@
         stored=message.stored,
         now_ms=state.wall_ms(event.now_s),
     )
-    proposed = _propose(state, event, command, token)
+    proposed = proposals.propose_command(state, event, command, token)
     if proposed is None:
         reply = ledger.SettleReply(
             call_id=message.call_id,
@@ -322,7 +319,7 @@
             delay_s=RESEND_INTERVAL_S,
         )
     ]
-    recipient = _leader_or_voter(state, event, keyed.send_count)
+    recipient = voter_lookup.pick_leader(state, event, keyed.send_count)
     keyed.send_count += 1
     if recipient is not None:
         message = keyed.settlement or keyed.request
@@ -330,16 +327,6 @@
     return result
 
 
-def _leader_or_voter(
-    state: node.Node, event: events.Event, send_count: int
-) -> address_lib.Address | None:
-    """Return this node if it leads, else a node that may lead, or None."""
-    replica = state.control.replica
-    if replica is not None and replica.is_leader:
-        return state.settings.address
-    return voter_lookup.pick_leader_or_voter(state, event, send_count)
-
-
 def _settle(
     state: node.Node,
     event: events.Event,
@@ -395,32 +382,6 @@
         abandoned.pop(next(iter(abandoned)))
 
 
-def _propose(
-    state: node.Node,
-    event: events.Event,
-    command: ledger.ClaimKey | ledger.SettleKey,
-    token: ClaimToken | SettleToken,
-) -> list[effects.Effect] | None:
-    """Propose a command as leader; return None if this node cannot."""
-    replica = state.control.replica
-    if replica is None or not replica.is_leader:
-        return None
-    if not replica_lib.has_recent_quorum_contact(replica, event.now_s):
-        return None
-    if len(replica.proposal_tokens) >= PENDING_PROPOSALS_MAX:
-        return None
-    try:
-        return replication.propose(
-            replica,
-            kind=records.EntryKind.COMMAND,
-            data=codec.encode(command),
-            token=token,
-            now_s=event.now_s,
-        )
-    except replica_lib.RequestRejectedError:
-        return None
-
-
 def _claim_reply(
     state: node.Node,
     token: ClaimToken,
--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -97,6 +97,11 @@
         "info",
         "The upstream waits for members to report any notice of leaving.",
     )
+    NOTICE_NOT_STORED = (
+        507,
+        "warning",
+        "The control group has not stored a notice of leaving in time.",
+    )
     CALL_FAILED = (510, "warning", "A call was answered with a failure.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/monsoonpass/core/membership/own_upstream.py
+++ b/src/monsoonpass/core/membership/own_upstream.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 
-from monsoonpass import immutable
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import log_events
@@ -18,6 +17,7 @@
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.membership import gossip
 from monsoonpass.core.membership import leave_notice as notice_lib
+from monsoonpass.core.membership import notice_storage
 from monsoonpass.core.membership import own_upstream_state as upstream_lib
 from monsoonpass.core.membership import sync_request
 from monsoonpass.core.membership import upstream_phase as phase_lib
@@ -29,26 +29,15 @@
 Reason = outcome.Reason
 
 
-@immutable.dataclass
-class AnnouncementResult:
-    """Result of an announcement.
-
-    Attributes:
-        accepted: Whether the announcement was accepted.
-    """
-
-    accepted: bool
-
-
 @step.step.register
 def _(
     event: events.UpstreamAnnounced, state: node.Node
 ) -> list[effects.Effect]:
     order = state.upstream.order(event)
-    accepted = event.draining or _accepts_ready(state, event, order)
     if event.draining:
-        result = _handle_draining(state, event, order)
-    elif not accepted:
+        return _handle_draining(state, event, order)
+    accepted = _accepts_ready(state, event, order)
+    if not accepted:
         result = [
             upstream_transition.announcement_log(
                 log_events.Code.ANNOUNCEMENT_IGNORED, event
@@ -60,14 +49,14 @@
         result = _store_announcement(state, event, order)
     else:
         cause = Cause.ANNOUNCED
-        if _must_wait_for_members(state, event):
+        if upstream_transition.offer_wait_s(state, event.now_s) > 0.0:
             cause = Cause.ANNOUNCED_EARLY
         result = _store_announcement(state, event, order)
         result += upstream_transition.apply_cause(state, event, cause)
     if event.request_id:
         reply = effects.Reply(
             request_id=event.request_id,
-            result=AnnouncementResult(accepted=accepted),
+            result=upstream_lib.AnnouncementResult(accepted=accepted),
         )
         result.append(reply)
     return result
@@ -79,14 +68,19 @@
     upstream = state.upstream
     name = event.upstream_id or upstream.name
     if not name:
-        return [log, *drain(state, event)]
+        replies = notice_storage.reply([event.request_id], stored=True)
+        return [log, *drain(state, event), *replies]
     started_ms = event.started_ms
     if started_ms is None and name == upstream.name:
         # The sender is the current process, or one that has replaced it.
         started_ms = upstream.started_ms
     notice = _make_notice(state, event)
     notice = dataclasses.replace(notice, name=name, started_ms=started_ms)
-    return [log, *_record_notice(state, event, notice)]
+    return [
+        log,
+        *_record_notice(state, event, notice),
+        *notice_storage.store(state, event, name, event.request_id),
+    ]
 
 
 def _handle_draining(
@@ -105,11 +99,18 @@
         result.append(_log_notice(state, event))
     if order is not upstream_lib.AnnouncementOrder.STALE:
         result += _store_announcement(state, event, order)
-    if not event.upstream_id:
-        return result + upstream_transition.apply_cause(
-            state, event, Cause.LEAVES
-        )
-    return result + _record_notice(state, event, _make_notice(state, event))
+    name = event.upstream_id
+    if not name:
+        return [
+            *result,
+            *upstream_transition.apply_cause(state, event, Cause.LEAVES),
+            *notice_storage.reply([event.request_id], stored=True),
+        ]
+    return [
+        *result,
+        *_record_notice(state, event, _make_notice(state, event)),
+        *notice_storage.store(state, event, name, event.request_id),
+    ]
 
 
 def _make_notice(
@@ -171,9 +172,17 @@
     for notice in notices:
         if state.upstream.notices.get(notice.name) != notice:
             result += _record_notice(state, event, notice)
-    if state.membership.joined:
-        result += _offer_waiting(state, event)
-    return result
+    return result + _offer_waiting(state, event)
+
+
+def merge_durable_notices(
+    state: node.Node,
+    event: events.Event,
+    notices: tuple[notice_lib.LeaveNotice, ...],
+) -> list[effects.Effect]:
+    """Merge notices that the control group has stored, as for members'."""
+    state.upstream.stored_notices.add(notices)
+    return merge_stored_notices(state, event, notices)
 
 
 @step.handle_timer.register
@@ -186,9 +195,11 @@
 def _offer_waiting(
     state: node.Node, event: events.Event
 ) -> list[effects.Effect]:
-    """Offer a waiting upstream, unless the node is stopping."""
-    if state.stopping:
+    """Offer a waiting upstream once no unknown notice is to be expected."""
+    if state.stopping or state.upstream.phase is not Phase.WAITING:
         return []
+    if upstream_transition.offer_wait_s(state, event.now_s) > 0.0:
+        return [upstream_transition.offer_timer(state, event)]
     return upstream_transition.apply_cause(state, event, Cause.CONFIRMED)
 
 
@@ -256,17 +267,6 @@
     return [log, *withdrawn]
 
 
-def _must_wait_for_members(state: node.Node, event: events.Event) -> bool:
-    """Return whether members may still report a notice of leaving.
-
-    A late announcement may reach a node that has just restarted and whose
-    earlier process acknowledged the upstream's notice of leaving.
-    """
-    if not state.settings.local_seeds or state.membership.joined:
-        return False
-    return event.now_s - state.started_s < upstream_transition.JOIN_WAIT_S
-
-
 def _accepts_ready(
     state: node.Node,
     event: events.UpstreamAnnounced,
--- a/src/monsoonpass/core/membership/own_upstream_state.py
+++ b/src/monsoonpass/core/membership/own_upstream_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from monsoonpass import immutable
 from monsoonpass.core import events
 from monsoonpass.core.membership import leave_notice as notice_lib
 from monsoonpass.core.membership import upstream_phase as phase_lib
@@ -16,6 +17,37 @@
     SUCCESSOR = "next"  # From a process that replaced the current one.
 
 
+@immutable.dataclass
+class AnnouncementResult:
+    """Result of an announcement or a notice of leaving.
+
+    Attributes:
+        accepted: Whether it was accepted.
+        stored: For a notice of leaving, whether it is durable.
+    """
+
+    accepted: bool
+    stored: bool = True
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingNotice:
+    """A notice of leaving that is not known to be durable.
+
+    Attributes:
+        notice: The notice.
+        arrived_s: When the requests that wait for a reply arrived, by request
+            id.
+        send_count: How often the notice was sent to the control group.
+        hint_followed_s: When a hint to the leader was last followed.
+    """
+
+    notice: notice_lib.LeaveNotice
+    arrived_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    send_count: int = 0
+    hint_followed_s: float = float("-inf")
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class OwnUpstream:
     """State of the own upstream.
@@ -31,6 +63,8 @@
         withdrawals: Number of withdrawals in a row because of failed
             connections.
         notices: Notices of leaving of this and earlier processes.
+        stored_notices: Those that the control group has stored.
+        pending_notices: Those that are being stored, by name.
     """
 
     phase: phase_lib.Phase = phase_lib.Phase.ABSENT
@@ -43,6 +77,12 @@
     notices: notice_lib.LeaveNotices = dataclasses.field(
         default_factory=notice_lib.LeaveNotices
     )
+    stored_notices: notice_lib.LeaveNotices = dataclasses.field(
+        default_factory=notice_lib.LeaveNotices
+    )
+    pending_notices: dict[str, PendingNotice] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def name(self) -> str:
--- a/src/monsoonpass/core/membership/upstream_transition.py
+++ b/src/monsoonpass/core/membership/upstream_transition.py
@@ -9,6 +9,7 @@
 from monsoonpass.core import log_events
 from monsoonpass.core import node
 from monsoonpass.core import timers
+from monsoonpass.core.agreement import voter_lookup
 from monsoonpass.core.calls import attempts
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import owner_call as owner_call_lib
@@ -18,6 +19,9 @@
 from monsoonpass.core.membership import upstream_phase as phase_lib
 
 JOIN_WAIT_S = 1.0  # Allows several join attempts, since seeds may be starting.
+# Longer than an election after all voters restart. A data centre that is cut
+# off from the control group uses its upstreams after that.
+CONTROL_GROUP_WAIT_S = 4.0
 RECHECK_BASE_S = 1.0  # Doubled with each withdrawal, including the first.
 RECHECK_MAX_S = 30.0
 Cause = phase_lib.Cause
@@ -58,11 +62,38 @@
     return _withdraw(state, event, cause)
 
 
+def offer_wait_s(state: node.Node, now_s: float) -> float:
+    """Return for how long an unknown notice of leaving is to be expected.
+
+    A late announcement may reach a node that has just restarted and whose
+    earlier process acknowledged the upstream's notice of leaving. Members and
+    the control group return the notice to the new process.
+
+    Returns:
+        The longest time until the upstream is offered; 0 if all notices are
+        known.
+    """
+    waits_s = [0.0]
+    elapsed_s = now_s - state.started_s
+    if state.settings.local_seeds and not state.membership.joined:
+        waits_s.append(JOIN_WAIT_S - elapsed_s)
+    is_confirmed = state.config.confirmed_version is not None
+    if voter_lookup.known_voters(state) and not is_confirmed:
+        waits_s.append(CONTROL_GROUP_WAIT_S - elapsed_s)
+    return max(waits_s)
+
+
+def offer_timer(state: node.Node, event: events.Event) -> effects.SetTimer:
+    """Return the timer that ends the wait of an upstream."""
+    return effects.SetTimer(
+        timer=timers.OfferDue(), delay_s=offer_wait_s(state, event.now_s)
+    )
+
+
 def _defer_offer(state: node.Node, event: events.Event) -> list[effects.Effect]:
     """Defer offering the upstream until members had time to answer."""
-    delay_s = state.started_s + JOIN_WAIT_S - event.now_s
     return [
-        effects.SetTimer(timer=timers.OfferDue(), delay_s=delay_s),
+        offer_timer(state, event),
         announcement_log(
             log_events.Code.ANNOUNCEMENT_WAITS, state.upstream.last_announcement
         ),
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -114,6 +114,13 @@
     call_id: int
 
 
+@immutable.dataclass
+class NoticeResend(Timer):
+    """The control group did not confirm a notice of leaving in time."""
+
+    name: str
+
+
 @immutable.dataclass
 class CallDeadline(Timer):
     """The deadline of a call has passed."""
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -19,6 +19,7 @@
 from monsoonpass.core.distribution import linearizable_read
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.distribution import survey
+from monsoonpass.core.membership import own_upstream_state
 from monsoonpass.formats import operator_document
 from monsoonpass.formats import operator_models as models
 from monsoonpass.formats import settings_sections
@@ -283,19 +284,21 @@
 
         Raises:
             Response: Status 409 if the reducer ignores the announcement as
-                outdated.
+                outdated, or 503 if it is a notice of leaving that could not
+                be stored.
         """
         result = await self._feed_and_wait(events.UpstreamAnnounced, **fields)
         if not result.accepted:
             raise _error_response(
                 409, "outdated", "a newer announcement is known"
             )
+        _check_stored(result)
 
     async def _drain_upstream(
         self, scope: dict[str, Any], body: bytes
     ) -> Response:
         self._check_local(scope)
-        self._engine.feed(events.UpstreamDraining)
+        _check_stored(await self._feed_and_wait(events.UpstreamDraining))
         in_progress = len(self._engine.state.admission.in_progress)
         content = {"status": "draining", "in_progress": in_progress}
         return Response(200, json.dumps(content).encode())
@@ -343,11 +346,12 @@
                 ).born
             except ValueError as error:
                 raise self._reject_announcement(scope, str(error)) from error
-        self._engine.feed(
+        result = await self._feed_and_wait(
             events.UpstreamDraining,
             upstream_id=_upstream_name(scope),
             started_ms=started_ms,
         )
+        _check_stored(result)
         return Response(200, b"{}")
 
     def _reject_announcement(
@@ -451,6 +455,18 @@
             raise _error_response(403, "forbidden", "only from this instance")
 
 
+def _check_stored(result: own_upstream_state.AnnouncementResult) -> None:
+    """Refuse to acknowledge a notice of leaving that is not durable.
+
+    Raises:
+        Response: Status 503.
+    """
+    if not result.stored:
+        raise _error_response(
+            503, "not-stored", "the control group cannot store the notice now"
+        )
+
+
 def _upstream_name(scope: dict[str, Any]) -> str:
     """Return the name of the upstream in the path, or an empty string."""
     prefix, _, name = scope["path"].partition(UPSTREAMS_PATH)
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -10,6 +10,7 @@
 from monsoonpass.core.membership import leave_notice as notice_lib
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.membership import own_upstream_state
 from monsoonpass.core.membership import upstream_transition
 from tests import fake_mesh
 from tests import fake_topologies
@@ -66,7 +67,7 @@
         }
         self.node.feed(events.UpstreamAnnounced, **{**fields, **changes})
         result = self.node.replies.pop(1)
-        assert isinstance(result, own_upstream.AnnouncementResult)
+        assert isinstance(result, own_upstream_state.AnnouncementResult)
         return result.accepted
 
     def fail(self, reason) -> None:
@@ -511,7 +512,7 @@
     def test_upstream_is_offered_if_no_member_answers(self):
         mesh, node = self.make_isolated_node()
         assert not node.state.admission.accepts_calls
-        mesh.run(upstream_transition.JOIN_WAIT_S)
+        mesh.run(upstream_transition.CONTROL_GROUP_WAIT_S)
         assert node.state.admission.accepts_calls
 
 
--- a/tests/test_own_upstream_fuzz.py
+++ b/tests/test_own_upstream_fuzz.py
@@ -2,7 +2,8 @@
 
 An upstream starts, announces itself, gives notice, ends and starts again under
 either of two names, while its node is killed, stopped, restarted and
-disconnected. Messages may arrive seconds late. The oracle records the starts
+disconnected, or all nodes are killed. Messages may arrive seconds late. The
+oracle records the starts
 whose notice of leaving was acknowledged; none of them may be offered again. An
 upstream that runs and has not given notice must be offered once its
 announcement arrives.
@@ -15,6 +16,7 @@
                                 `gossip.update_own_record`
                             own_upstream.merge_stored_notices: `_record_notice`
                             gossip.merge: `_store_notice`
+                            cold_start: `merge_durable_notices`
     offered once announced  LeaveNotice.applies_to:
                                 `started_ms > self.startless_received_ms`
 """
@@ -47,6 +49,7 @@
         has_given_notice: Whether the process has given notice of leaving.
         is_acknowledged: Whether the node acknowledged the notice and still
             has it, or could have sent it to the members.
+        is_stored: Whether the node confirmed that the notice is durable.
     """
 
     name: str
@@ -54,6 +57,7 @@
     sequence: int = 0
     has_given_notice: bool = False
     is_acknowledged: bool = False
+    is_stored: bool = False
 
 
 class UpstreamMachine(stateful.RuleBasedStateMachine):
@@ -69,6 +73,8 @@
         self.node = self.mesh.nodes[NODE]
         self.processes: list[Process] = []
         self.running: Process | None = None
+        self.notices: dict[int, Process] = {}
+        self.request_count = 0
         self.random_actions(seed)
 
     @stateful.rule(seed=st.integers(0, 2**32))
@@ -84,6 +90,7 @@
             self.kill_node: 6,
             self.stop_node: 1,
             self.start_node: 12,
+            self.kill_all_nodes: 2,
             self.disconnect_node: 1,
             self.mesh.cut_links.clear: 6,
             lambda: self.fail(outcome.Reason.UPSTREAM_UNREACHABLE): 1,
@@ -146,14 +153,26 @@
             upstream_id=process.name,
             started_ms=process.started_ms if self.sends_start else None,
             sequence=sequence,
+            request_id=self.next_request(process) if draining else 0,
         )
         self.check()
 
+    def next_request(self, process) -> int:
+        """Return the request id for a notice of a process."""
+        self.request_count += 1
+        request_id = self.request_count
+        self.notices[request_id] = process
+        return request_id
+
     def deliver_notice(self, process):
         """Deliver a notice with only the name of the upstream to the node."""
         if self.node.alive and process is self.running:
             process.is_acknowledged = True
-            self.node.feed(events.UpstreamDraining, upstream_id=process.name)
+            self.node.feed(
+                events.UpstreamDraining,
+                upstream_id=process.name,
+                request_id=self.next_request(process),
+            )
             self.check()
 
     @stateful.rule()
@@ -168,6 +187,23 @@
     @stateful.rule()
     def disconnect_node(self):
         self.mesh.split({NODE})
+        if self.node.alive and self.node.state.config.confirmed_version is None:
+            # The control group can no longer send the notices.
+            self.clear_acknowledged()
+
+    @stateful.rule()
+    def kill_all_nodes(self):
+        """Kill all nodes and start them again: only disks are kept."""
+        self.take_replies()
+        for process in self.processes:
+            process.is_acknowledged = process.is_stored
+        for node in self.mesh.nodes.values():
+            node.crash()
+        self.run(RESTART_S)
+        if self.mesh.cut_links:
+            self.clear_acknowledged()
+        for node in self.mesh.nodes.values():
+            node.start()
 
     @stateful.rule()
     def stop_node(self):
@@ -229,9 +265,20 @@
         """Clear acknowledged notices that the node can no longer know of."""
         for process in self.processes:
             process.is_acknowledged = False
+            process.is_stored = False
+        self.notices.clear()
+
+    def take_replies(self):
+        """Record the notices that the node has confirmed as durable."""
+        for request_id in list(self.notices):
+            reply = self.node.replies.pop(request_id, None)
+            if reply is not None and reply.stored:
+                process = self.notices[request_id]
+                process.is_stored = process.is_acknowledged = True
 
     def check(self):
         """Check that the offered upstream has no acknowledged notice."""
+        self.take_replies()
         if not self.node.alive or not self.node.state.admission.accepts_calls:
             return
         upstream = self.node.state.upstream
