Refuse numbers and names that nodes cannot send on, by their field

What callers saw: an If-Match of 2^64 ended the node that took it; a limit of 10^30 in a configuration, or a timeout header of 5,000 digits, closed the connection in place of an answer.

Cause: the models at the border checked the sign of numbers, not whether messages and journals can carry them. The encoder's OverflowError comes up while an effect is carried out and ends the process.

Why it works: integers are bounded by 2^53 - 1, times, weights and the length of names are bounded too, and the answer (400 or 422) names the field, so that nothing of the kind reaches a message.

--- a/src/monsoonpass/formats/operator_document.py
+++ b/src/monsoonpass/formats/operator_document.py
@@ -13,12 +13,12 @@
 from monsoonpass import errors
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import host_route
+from monsoonpass.formats import bounds
 
 DOCUMENT_MAX_BYTES = 4 * 1024 * 1024  # Enough for about ten thousand services.
-TIME_MAX_S = 24 * 3600.0
 ATTEMPTS_MAX = 100
 
-_Seconds = Annotated[float, pydantic.Field(gt=0, le=TIME_MAX_S)]
+_Seconds = Annotated[float, pydantic.Field(gt=0, le=bounds.TIME_MAX_S)]
 _Text = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=512)]
 _Path = Annotated[
     str, pydantic.StringConstraints(pattern=r"^/([^\s?#]*/)?$", max_length=2048)
@@ -34,12 +34,19 @@
         extra = self.model_extra
         return json.dumps(extra, sort_keys=True) if extra else ""
 
+    @pydantic.model_validator(mode="after")
+    def _check_extra(self) -> "_ExtensibleModel":
+        """Refuse numbers that JSON can express only before it is parsed."""
+        if self.model_extra:
+            json.dumps(self.model_extra, allow_nan=False)
+        return self
+
 
 class PartModel(_ExtensibleModel):
     """A service that receives a share of a route's calls."""
 
     service: _Text
-    weight: Annotated[float, pydantic.Field(ge=0)]
+    weight: Annotated[float, pydantic.Field(ge=0, le=bounds.WEIGHT_MAX)]
 
 
 class RouteModel(_ExtensibleModel):
@@ -91,7 +98,7 @@
 
     name: _Text
     health_path: str = ""
-    connections_max: Annotated[int, pydantic.Field(ge=0)] = 0
+    connections_max: bounds.Count = 0
 
     def to_service(self) -> catalog.Service:
         """Return the service of the configuration."""
@@ -108,10 +115,10 @@
 class LimitsModel(_ExtensibleModel):
     """Limits on the requests of callers."""
 
-    header_max_bytes: Annotated[int, pydantic.Field(gt=0)] = (
+    header_max_bytes: bounds.PositiveInteger = (
         host_route.DEFAULT_LIMITS.header_max_bytes
     )
-    body_max_bytes: Annotated[int, pydantic.Field(gt=0)] = (
+    body_max_bytes: bounds.PositiveInteger = (
         host_route.DEFAULT_LIMITS.body_max_bytes
     )
     header_timeout_s: _Seconds = host_route.DEFAULT_LIMITS.header_timeout_s
@@ -133,7 +140,7 @@
 
     model_config = pydantic.ConfigDict(extra="ignore")
 
-    version: Annotated[int, pydantic.Field(ge=1, lt=2**53, strict=True)]
+    version: Annotated[bounds.PositiveInteger, pydantic.Strict()]
     routes: list[RouteModel]
     services: list[ServiceModel]
     limits: LimitsModel
--- a/src/monsoonpass/formats/operator_models.py
+++ b/src/monsoonpass/formats/operator_models.py
@@ -2,11 +2,16 @@
 
 from typing import Annotated
 from typing import Literal
+from typing import TypeVar
 
 import pydantic
 
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import survey
+from monsoonpass.formats import bounds
+from monsoonpass.formats import settings_sections
+
+_ModelT = TypeVar("_ModelT", bound=pydantic.BaseModel)
 
 
 class _Model(pydantic.BaseModel):
@@ -42,13 +47,36 @@
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    service: Annotated[str, pydantic.StringConstraints(min_length=1)]
-    address: str
+    service: bounds.Name
+    address: bounds.Name
     slots: Annotated[int, pydantic.Field(ge=1, le=10000)]
     state: Literal["ready", "draining"]
-    cold_s: Annotated[float, pydantic.Field(ge=0, strict=False)] = 0.0
-    sequence: Annotated[int, pydantic.Field(ge=0)]
-    born: Annotated[int, pydantic.Field(ge=1)] | None = None
+    cold_s: Annotated[
+        float, pydantic.Field(ge=0, le=bounds.TIME_MAX_S, strict=False)
+    ] = 0.0
+    sequence: bounds.Count
+    born: bounds.PositiveInteger | None = None
+
+    @classmethod
+    def parse(cls, name: str, data: bytes) -> "Heartbeat":
+        """Validate a heartbeat.
+
+        Args:
+            name: Name of the upstream.
+            data: The JSON body.
+
+        Raises:
+            ValueError: The name or a field is not valid.
+        """
+        check_name(name)
+        heartbeat = _validate_json(cls, data)
+        try:
+            port = settings_sections.HostPort.parse(heartbeat.address).port
+        except ValueError as error:
+            raise ValueError("address: not an IP address and a port") from error
+        if not port:
+            raise ValueError("address: the port is 0")
+        return heartbeat
 
 
 class Deregistration(pydantic.BaseModel):
@@ -56,7 +84,41 @@
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    born: Annotated[int, pydantic.Field(ge=1)] | None = None
+    born: bounds.PositiveInteger | None = None
+
+    @classmethod
+    def parse(cls, name: str, data: bytes) -> "Deregistration":
+        """Validate a deregistration; the body may be empty.
+
+        Raises:
+            ValueError: The name or a field is not valid.
+        """
+        check_name(name)
+        return _validate_json(cls, data) if data else cls()
+
+
+def _validate_json(model: type[_ModelT], data: bytes) -> _ModelT:
+    """Validate a JSON body.
+
+    Raises:
+        ValueError: Names the first field that is not valid.
+    """
+    try:
+        return model.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        fault = error.errors(include_url=False)[0]
+        location = ".".join(str(part) for part in fault["loc"]) or "body"
+        raise ValueError(f"{location}: {fault['msg']}") from error
+
+
+def check_name(name: str) -> None:
+    """Check the name of an upstream.
+
+    Raises:
+        ValueError: The name is too long.
+    """
+    if len(name) > bounds.NAME_MAX_CHARS:
+        raise ValueError(f"name: over {bounds.NAME_MAX_CHARS} characters")
 
 
 class SubmitResult(_Model):
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -9,6 +9,7 @@
 from monsoonpass import errors
 from monsoonpass.core.calls import call_messages as messages
 from monsoonpass.core.calls import outcome
+from monsoonpass.formats import bounds
 from monsoonpass.formats import header_names as header_names_lib
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import exchange as exchange_lib
@@ -16,6 +17,7 @@
 Receive = exchange_lib.Receive
 
 BODY_TIMEOUT_S = 30.0
+TIMEOUT_MAX_MS = 3_600_000
 # A body up to this length is kept, so that the request can be sent again.
 BUFFERED_BODY_MAX_BYTES = 512 * 1024
 HOP_BY_HOP = frozenset(
@@ -183,9 +185,10 @@
 ) -> float | None:
     """Return the timeout that the caller set; None if missing or invalid."""
     text = headers.get(header_names.timeout_ms, b"")
-    if not text.isdigit() or not 0 < int(text) <= 3_600_000:
+    timeout_ms = bounds.parse_decimal(text) or 0
+    if not 0 < timeout_ms <= TIMEOUT_MAX_MS:
         return None
-    return int(text) / 1000.0
+    return timeout_ms / 1000.0
 
 
 def request_fingerprint(exchange: exchange_lib.Exchange) -> bytes:
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -20,6 +20,7 @@
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.distribution import survey
 from monsoonpass.core.membership import own_upstream_state
+from monsoonpass.formats import bounds
 from monsoonpass.formats import operator_document
 from monsoonpass.formats import operator_models as models
 from monsoonpass.formats import settings_sections
@@ -186,13 +187,15 @@
         """
         self._check_token(scope)
         if_match = dict(scope["headers"]).get(b"if-match", b"").strip(b'" ')
-        if if_match and not if_match.isdigit():
+        base_version = bounds.parse_decimal(if_match or b"0")
+        if base_version is None:
             raise _error_response(400, "invalid", "If-Match is not a version")
         try:
             catalog = operator_document.compile_document(body)
         except errors.OperatorTextError as error:
             raise _error_response(400, "invalid", str(error)) from error
-        base_version = int(if_match) if if_match else submission.ANY_BASE
+        if not if_match:
+            base_version = submission.ANY_BASE
         return await self._submit_catalog(catalog, base_version)
 
     async def _submit_catalog(
@@ -309,7 +312,7 @@
         """Handle a heartbeat, with which a named upstream announces itself."""
         self._check_local(scope)
         try:
-            heartbeat = models.Heartbeat.model_validate_json(body)
+            heartbeat = models.Heartbeat.parse(_upstream_name(scope), body)
             address = settings_sections.HostPort.parse(heartbeat.address)
         except ValueError as error:
             raise self._reject_announcement(scope, str(error)) from error
@@ -338,18 +341,15 @@
     ) -> Response:
         """Handle a deregistration, with which a named upstream leaves."""
         self._check_local(scope)
-        started_ms = None
-        if body:
-            try:
-                started_ms = models.Deregistration.model_validate_json(
-                    body
-                ).born
-            except ValueError as error:
-                raise self._reject_announcement(scope, str(error)) from error
+        name = _upstream_name(scope)
+        try:
+            deregistration = models.Deregistration.parse(name, body)
+        except ValueError as error:
+            raise self._reject_announcement(scope, str(error)) from error
         result = await self._feed_and_wait(
             events.UpstreamDraining,
-            upstream_id=_upstream_name(scope),
-            started_ms=started_ms,
+            upstream_id=name,
+            started_ms=deregistration.born,
         )
         _check_stored(result)
         return Response(200, b"{}")
@@ -362,12 +362,13 @@
         Returns:
             The error response, for the caller to raise.
         """
+        cause = " ".join(cause.split())[:200]
         self._logger.write(
             log_events.Code.ANNOUNCEMENT_IGNORED,
             upstream=_upstream_name(scope)[:64],
-            cause=" ".join(cause.split())[:200],
+            cause=cause,
         )
-        return _error_response(422, "invalid", "not a usable announcement")
+        return _error_response(422, "invalid", cause)
 
     async def _get_metrics(
         self, scope: dict[str, Any], body: bytes
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -10,6 +10,7 @@
 from monsoonpass.runtime import event_log
 from monsoonpass.standin import local_mesh
 from tests import test_end_to_end
+from tests import test_operator_document
 
 NODE_SPECS = (
     local_mesh.NodeSpec(instance="n0"),
@@ -181,6 +182,44 @@
         run_on_mesh(tmp_path, scenario)
 
 
+class TestSubmittedNumbers:
+    def test_odd_version_in_if_match_is_refused(self, tmp_path):
+        """Guards against an If-Match that ends the node that takes it."""
+
+        async def scenario(mesh):
+            url = f"{mesh.nodes[1].operator_url}/v1/config"
+            document = test_operator_document.make_document(version=1)
+            for value in (str(2**53), str(2**64), "1" + "0" * 5000, "-1"):
+                answer = await mesh.http.put(
+                    url, json=document, headers={"if-match": value}
+                )
+                assert answer.status_code == 400, value[:30]
+                assert "If-Match" in answer.json()["message"]
+            answer = await mesh.http.put(
+                url, json=document, headers={"if-match": "0"}
+            )
+            assert answer.status_code == 200
+
+        run_on_mesh(tmp_path, scenario)
+
+    def test_odd_timeout_of_a_caller_is_ignored(self, tmp_path):
+        """Guards against a closed connection in place of an answer."""
+
+        async def scenario(mesh):
+            await mesh.submit(mesh.nodes[0], test_end_to_end.OPERATOR_TEXT)
+            await mesh.wait_for_version(1)
+            response = await mesh.http.get(
+                f"{mesh.nodes[0].caller_url}/lots",
+                headers={
+                    "host": "shop",
+                    "monsoonpass-timeout-ms": "1" * 5000,
+                },
+            )
+            assert response.status_code == 200
+
+        run_on_mesh(tmp_path, scenario)
+
+
 class TestAnnouncements:
     def test_outdated_announcement_is_answered_with_409(self, tmp_path):
         """A repeat, or an unnamed upstream beside a named one, is outdated.
@@ -211,6 +250,54 @@
 
         run_on_mesh(tmp_path, scenario)
 
+    def test_odd_entries_are_refused_and_the_node_serves_on(self, tmp_path):
+        """Guards against a number that ends the node when it is sent on."""
+        heartbeat = {
+            "service": "shop",
+            "address": "127.0.0.1:9000",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1,
+        }
+        nested = "[" * 5000 + "]" * 5000
+        odd_values = {
+            "sequence": [str(2**64), "1" + "0" * 400, "-1", "null"],
+            "born": [str(2**64), "0", nested],
+            "cold_s": ["1e400", "-1"],
+            "slots": ["0", str(2**64), nested],
+            "address": [
+                '"127.0.0.1:0"',
+                '"127.0.0.1:70000"',
+                '"127.0.0.1:-1"',
+                nested,
+            ],
+            "service": ['""', json.dumps("s" * 5000), "[]"],
+            "state": ['"gone"', "1"],
+        }
+
+        async def scenario(mesh):
+            url = f"{mesh.nodes[0].operator_url}/v1/upstreams/i-1"
+            for name, values in odd_values.items():
+                for value in values:
+                    text = json.dumps({**heartbeat, name: "@"})
+                    body = text.replace('"@"', value)
+                    answer = await mesh.http.put(url, content=body)
+                    assert answer.status_code == 422, (name, value[:30])
+                    message = answer.json()["message"]
+                    assert name in message or "JSON" in message
+            for value in (str(2**64), "1" + "0" * 400, nested):
+                body = '{"born": ' + value + "}"
+                answer = await mesh.http.request("DELETE", url, content=body)
+                assert answer.status_code == 422, value[:30]
+            long_url = f"{url}{'x' * 2000}"
+            answer = await mesh.http.put(long_url, json=heartbeat)
+            assert answer.status_code == 422
+            answer = await mesh.http.put(url, json=heartbeat)
+            assert answer.status_code == 200
+
+        run_on_mesh(tmp_path, scenario)
+
     def test_path_without_an_upstream_name_is_not_found(self, tmp_path):
         async def scenario(mesh):
             url = f"{mesh.nodes[0].operator_url}/v1/upstreams/"
--- a/tests/test_operator_document.py
+++ b/tests/test_operator_document.py
@@ -89,6 +89,47 @@
         with pytest.raises(errors.OperatorTextError):
             compile_json(document)
 
+    @pytest.mark.parametrize("number", ["1e400", "1" + "0" * 30, "-1"])
+    @pytest.mark.parametrize(
+        "place",
+        [
+            ("services", 0, "connections_max"),
+            ("limits", "body_max_bytes"),
+            ("limits", "header_max_bytes"),
+            ("limits", "idle_timeout_s"),
+            ("routes", 0, "deadline_s"),
+            ("routes", 0, "priority"),
+            ("routes", 1, "parts", 0, "weight"),
+            ("version",),
+        ],
+    )
+    def test_number_out_of_range_is_refused_by_its_place(self, place, number):
+        """Guards against a closed connection in place of an answer."""
+        document = make_document()
+        item = document
+        for key in place[:-1]:
+            item = item[key]
+        item[place[-1]] = "@"
+        data = json.dumps(document).replace('"@"', number).encode()
+        with pytest.raises(errors.OperatorTextError) as error_info:
+            operator_document.compile_document(data)
+        location = ".".join(str(key) for key in place)
+        assert [issue.location for issue in error_info.value.issues] == [
+            location
+        ]
+
+    @pytest.mark.parametrize("place", ["routes", "services", "limits"])
+    def test_extra_field_that_json_cannot_carry_is_refused(self, place):
+        """Guards against a document that cannot be read back."""
+        document = make_document()
+        item = document[place]
+        if place != "limits":
+            item = item[0]
+        item["extra"] = "@"
+        data = json.dumps(document).replace('"@"', "1e400").encode()
+        with pytest.raises(errors.OperatorTextError):
+            operator_document.compile_document(data)
+
     def test_truncated_document_is_refused(self):
         data = json.dumps(make_document()).encode()
         for size in range(0, len(data), 97):
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -42,6 +42,17 @@
                 await stream.send(data)
             await anyio.sleep(5)
 
+    run_with_server(serve, scenario)
+
+
+def run_with_server(serve, scenario) -> None:
+    """Run a scenario with a pool of connections to a server.
+
+    Args:
+        serve: Serves one connection.
+        scenario: Called with the connection pool.
+    """
+
     async def run():
         port = local_mesh.free_ports(1)[0]
         listener = await anyio.create_tcp_listener(
@@ -224,6 +235,43 @@
         run_with_upstream([head + b"\r\n\r\n" + body], scenario)
 
 
+class TestCutResponse:
+    """The upstream stops in the middle of its response and closes."""
+
+    @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+    def test_cut_response_is_never_taken_for_a_whole_one(self, framing):
+        """Guards against a short body that is framed as whole.
+
+        A body that ends with the connection may be cut after its head.
+        """
+        head = b"HTTP/1.1 200 OK\r\ncall: 7\r\n"
+        whole = {
+            "length": head + b"content-length: 4\r\n\r\nbody",
+            "chunked": head
+            + b"transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "close": head + b"\r\n",
+        }[framing]
+
+        async def scenario(pool):
+            for _ in range(len(whole)):
+                connection = await pool.acquire(0.0)
+                await connection.send_head("GET", b"/", HEADERS, ended=True)
+                with pytest.raises(errors.UpstreamResponseError):
+                    await connection.receive_head(CALL_ID)
+                    async for _ in connection.receive_body():
+                        pass
+                await pool.release(connection, 0.0, reuse=False)
+
+        ends = iter(range(len(whole)))
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(whole[: next(ends)])
+
+        run_with_server(serve, scenario)
+
+
 class TestEarlyResponse:
     """The upstream answers before it has read the whole request body."""
 
