Take calls at a stopping node only if their deadline ends them in time

Cause: a call was taken while eight times the usual time of its route was left (half of the objective for an unknown one). Stragglers on a slow upstream take twenty times and more, and were given up at the stop's end.

Why it works: only the deadline says for sure when a call has ended. A call with a later deadline is taken while fifty times the usual time is left, and not at all if nothing is known of its route.

--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -335,8 +335,6 @@
             self.end_s,
             deadline_s=call.deadline_s,
             usual_s=self.expected_service_time_s(call.route),
-            objective_s=min(call.objective_deadline_s, call.deadline_s)
-            - call.arrived_s,
         )
 
     def is_long(self, call: owner_call_lib.OwnerCall) -> bool:
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -373,7 +373,6 @@
         state.stop_deadline_s,
         deadline_s=call.deadline_s,
         usual_s=state.routing.median(call.statistics_key).value_s,
-        objective_s=call.route.objective_s,
         body_bytes=call.body_rest_bytes,
     )
     return event.now_s <= latest_start_s
--- a/src/monsoonpass/core/calls/stop_fit.py
+++ b/src/monsoonpass/core/calls/stop_fit.py
@@ -2,15 +2,16 @@
 
 Load pattern: instances are stopped in turn under load, and kept connections
 bring calls until the process ends. A call that its upstream is still running
-then would be lost, while one that is refused in time runs at another node.
+then would be lost, while one that is refused in time runs at another node. Only
+its deadline says for sure when a call will have ended. A stopping node thus
+takes calls whose deadline lies before its own end, and calls with a later
+deadline as long as even a straggler ends in time.
 """
 
 import math
 
-# Service times scatter; stragglers take several times the usual time.
-USUAL_TIME_FACTOR = 8.0
-# Share of the objective that a call of an unknown route is expected to take.
-UNKNOWN_TIME_SHARE = 0.5
+# Stragglers take many times the usual time, and more on a slow upstream.
+STRAGGLER_FACTOR = 50.0
 # Slowest rate at which the rest of a request body is expected to arrive.
 BODY_RATE_BYTES_S = 1024 * 1024
 
@@ -20,7 +21,6 @@
     *,
     deadline_s: float,
     usual_s: float,
-    objective_s: float,
     body_bytes: int = 0,
 ) -> float:
     """Return the latest time at which a call may start at a stopping node.
@@ -31,13 +31,14 @@
             does may start at any time.
         usual_s: Usual time from the start of such a call to its answer; 0 if it
             is not known.
-        objective_s: Response time objective; used instead of an unknown time.
         body_bytes: Length of the part of the request body still to arrive.
 
     Returns:
-        The time in seconds; infinite if the call fits in any case.
+        The time in seconds; infinite if the call fits in any case, and minus
+        infinity if its deadline is later and its usual time is not known.
     """
     if deadline_s <= end_s:
         return math.inf
-    needed_s = USUAL_TIME_FACTOR * usual_s or UNKNOWN_TIME_SHARE * objective_s
-    return end_s - needed_s - body_bytes / BODY_RATE_BYTES_S
+    if not usual_s:
+        return -math.inf
+    return end_s - STRAGGLER_FACTOR * usual_s - body_bytes / BODY_RATE_BYTES_S
