Keep a call with a key registered while it goes on without its caller

What callers saw: one caller that left a call with an Idempotency-Key before it had its slot ended the node's process (LOST for all others).

Cause: CallerApp kept the exchange of such a call but removed the call from UpstreamRunner.calls if it was not dispatched yet; _dispatch then raised a KeyError, which ends the daemon.

Why it works: exchange and registration are now removed together, at once for a call that ends with its caller, after its answer for one that goes on.

--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -120,11 +120,20 @@
                 self._spawn(self._drain_answer, exchange)
             else:
                 del self._exchanges[call_id]
-            if result == "caller-gone" and not exchange.idempotency_key:
-                self._engine.feed(events.CallerDisconnected, call_id=call_id)
-            call = self._upstream_runner.calls.get(call_id)
-            if call is not None and call.cancel_scope is None:
-                del self._upstream_runner.calls[call_id]
+                if result == "caller-gone":
+                    self._engine.feed(
+                        events.CallerDisconnected, call_id=call_id
+                    )
+                self._remove_local_call(call_id)
+
+    def _remove_local_call(self, call_id: int) -> None:
+        """Remove the registration of a call that can no longer be dispatched.
+
+        A call that was dispatched is removed at the end of its run.
+        """
+        call = self._upstream_runner.calls.get(call_id)
+        if call is not None and call.cancel_scope is None:
+            del self._upstream_runner.calls[call_id]
 
     def _spawn(self, task: Callable[..., Awaitable[None]], *args: Any) -> None:
         self._group.start_soon(task, *args)
@@ -138,6 +147,7 @@
             if part.ended or part.failure is not None:
                 break
         del self._exchanges[exchange.call_id]
+        self._remove_local_call(exchange.call_id)
 
     def _replay(self, effect: effects.ReplayAnswer) -> None:
         exchange = self._exchanges.get(effect.call_id)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -254,6 +254,46 @@
         run_mesh(tmp_path, TWO_NODES, scenario)
 
 
+class TestCallerWithKeyLeaves:
+    """A caller with an idempotency key leaves before its call has a slot."""
+
+    def test_call_goes_on_and_the_node_serves_on(self, tmp_path):
+        """Guards against a call that is dispatched but no longer registered."""
+        behaviour = simulated_upstream.UpstreamBehaviour(slots=1)
+        specs = (
+            local_mesh.NodeSpec(
+                instance="n0", service="shop", behaviour=behaviour
+            ),
+        )
+        headers = {"host": "shop", "idempotency-key": "k-1"}
+
+        async def scenario(mesh):
+            node = mesh.nodes[0]
+
+            async def pay_and_leave():
+                url = node.caller_url + "/payments?id=p"
+                with anyio.move_on_after(0.2):
+                    await mesh.http.post(url, headers=headers)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call, mesh, node, "/lots?ms=600")
+                await anyio.sleep(0.1)
+                group.start_soon(pay_and_leave)
+            while not node.upstream.runs["p"]:
+                await anyio.sleep(0.01)
+            response = await mesh.http.post(
+                node.caller_url + "/payments?id=p", headers=headers
+            )
+            assert response.status_code in (200, 409)
+            assert node.upstream.runs["p"] == 1
+            while node.daemon._upstream_runner.calls:
+                await anyio.sleep(0.01)
+            response = await call(mesh, node, "/lots")
+            assert response.status_code == 200
+
+        run_mesh(tmp_path, specs, scenario)
+
+
 class TestStop:
     def test_planned_stop_interrupts_no_call(self, tmp_path):
         async def scenario(mesh):
