Tell with each part of a response body whether the body ends with it

What callers saw: answers of 64 to 128 KiB that an upstream had sent whole stalled until the route's timeout and were cut (LOST).

Cause: the last part of a body may come together with its end. _receive_body_start judged by the length alone and said that more follows; _forward_chunks then waited for bytes of a body that had ended.

Why it works: receive_part returns the end with the part, so nobody waits for a body that is over.

--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -184,12 +184,20 @@
         """
         is_ended = False
         while not is_ended:
-            part, is_ended = await self._next_part()
+            part, is_ended = await self.receive_part()
             if part:
                 yield part
 
-    async def _next_part(self) -> tuple[bytes, bool]:
-        """Return the received part of the body, and whether the body ends."""
+    async def receive_part(self) -> tuple[bytes, bool]:
+        """Wait for more of the response body.
+
+        Returns:
+            The next part, and whether the body ends with it.
+
+        Raises:
+            UpstreamResponseError: The connection broke, or the response is
+                malformed.
+        """
         parts: list[bytes] = []
         size_bytes = 0
         event = await self._next_event()
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -415,12 +415,12 @@
     """
     parts = []
     size_bytes = 0
-    async for chunk in connection.receive_body():
-        parts.append(chunk)
-        size_bytes += len(chunk)
-        if size_bytes > body_lib.WHOLE_ANSWER_MAX_BYTES:
-            return b"".join(parts), False
-    return b"".join(parts), True
+    is_ended = False
+    while not is_ended and size_bytes <= body_lib.WHOLE_ANSWER_MAX_BYTES:
+        part, is_ended = await connection.receive_part()
+        parts.append(part)
+        size_bytes += len(part)
+    return b"".join(parts), is_ended
 
 
 def _first_leaf(group: BaseExceptionGroup) -> BaseException:
--- a/tests/test_upstream_runner.py
+++ b/tests/test_upstream_runner.py
@@ -10,6 +10,55 @@
 from monsoonpass.formats import header_names
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import upstream_runner as upstream_runner_lib
+from tests import test_upstream_http
+
+KIB = 1024
+
+
+class TestBodyAroundTheBounds:
+    """Bodies that end around the bounds of buffers, written at once."""
+
+    @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+    @pytest.mark.parametrize("off_bytes", [-1, 0, 1])
+    @pytest.mark.parametrize("bound_bytes", [16 * KIB, 64 * KIB, 128 * KIB])
+    def test_body_is_received_whole(self, bound_bytes, off_bytes, framing):
+        """Guards against waiting for the rest of a body that has ended."""
+        body = bytes(bound_bytes + off_bytes)
+        head = b"HTTP/1.1 200 OK\r\n"
+        response = {
+            "length": head + b"content-length: %d\r\n\r\n" % len(body) + body,
+            "chunked": head
+            + b"transfer-encoding: chunked\r\n\r\n"
+            + b"%x\r\n" % len(body)
+            + body
+            + b"\r\n0\r\n\r\n",
+            "close": head + b"\r\n" + body,
+        }[framing]
+        may_close = anyio.Event()
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(response)
+                if framing != "close":
+                    await may_close.wait()
+
+        async def scenario(pool):
+            connection = await pool.acquire(0.0)
+            headers = ((b"host", b"shop"),)
+            await connection.send_head("GET", b"/", headers, ended=True)
+            await connection.receive_head()
+            with anyio.fail_after(5):
+                parts = [
+                    await upstream_runner_lib._receive_body_start(connection)
+                ]
+                if not parts[0][1]:
+                    async for part in connection.receive_body():
+                        parts.append((part, False))
+            assert b"".join(part for part, _ in parts) == body
+            may_close.set()
+
+        test_upstream_http.run_with_server(serve, scenario)
 
 
 class ChangingPool:
