Give the operator endpoint limits of its own

What callers saw: after a change that lowered body_max_bytes the same order sent again got 413, and no later change above the limit was taken (CONFIG).

Cause: the limits of the configuration in force, which bound callers, were given to the operator endpoint too, with heartbeats on it.

Why it works: the endpoint's limits are constants, so whatever is in force, the next configuration can be submitted.

--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -1,5 +1,6 @@
 """A node as a process: creates, starts and stops its components."""
 
+from collections.abc import Callable
 import pathlib
 import time
 
@@ -11,6 +12,7 @@
 from monsoonpass.core import events
 from monsoonpass.core import log_events
 from monsoonpass.core import node
+from monsoonpass.core.distribution import host_route
 from monsoonpass.formats import journal as journal_lib
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.formats import settings_sections
@@ -262,20 +264,36 @@
 
     def _start_http_servers(self, group: anyio.abc.TaskGroup) -> None:
         listen = self._settings.listen
-        serve = self._serve_http2 if listen.http2 else self._serve
+        state = self.engine.state
         for address in listen.callers:
-            group.start_soon(serve, address, self._caller_app.app)
+            if listen.http2:
+                group.start_soon(
+                    self._serve_http2, address, self._caller_app.app
+                )
+                continue
+            group.start_soon(
+                self._serve,
+                address,
+                self._caller_app.app,
+                lambda: state.config.catalog.limits,
+            )
         for address in listen.operators:
-            group.start_soon(self._serve, address, self._operator_api.app)
+            group.start_soon(
+                self._serve,
+                address,
+                self._operator_api.app,
+                lambda: operator_api.LIMITS,
+            )
 
     async def _serve(
-        self, listen: settings_sections.HostPort, app: http_server.App
+        self,
+        listen: settings_sections.HostPort,
+        app: http_server.App,
+        limits: Callable[[], host_route.RequestLimits],
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
-            app=app,
-            limits=lambda: state.config.catalog.limits,
-            is_closing=lambda: state.stopping,
+            app=app, limits=limits, is_closing=lambda: state.stopping
         )
         self._servers.append(server)
         await server.serve(listen.host, listen.port)
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import hmac
 import itertools
 import json
@@ -16,6 +17,7 @@
 from monsoonpass.core import log_events
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.distribution import config_messages
+from monsoonpass.core.distribution import host_route
 from monsoonpass.core.distribution import linearizable_read
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.distribution import survey
@@ -30,6 +32,11 @@
 from monsoonpass.runtime import upstream_http
 
 BODY_MAX_BYTES = operator_document.DOCUMENT_MAX_BYTES + 1024
+# Independent of the configuration in force, which could otherwise shut out the
+# next one.
+LIMITS = dataclasses.replace(
+    host_route.DEFAULT_LIMITS, body_max_bytes=BODY_MAX_BYTES
+)
 REPLY_TIMEOUT_S = 10.0
 PENDING_REQUESTS_MAX = 256
 UPSTREAMS_PATH = "/v1/upstreams/"
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -182,6 +182,49 @@
         run_on_mesh(tmp_path, scenario)
 
 
+class TestOwnLimits:
+    """The operator endpoint has limits of its own."""
+
+    def test_tight_limits_in_force_do_not_shut_out_the_next_version(
+        self, tmp_path
+    ):
+        """Guards against a configuration that no other can replace."""
+        tight = {
+            "header_max_bytes": 1,
+            "body_max_bytes": 1,
+            "header_timeout_s": 0.001,
+            "idle_timeout_s": 0.001,
+        }
+        heartbeat = {
+            "service": "shop",
+            "address": "127.0.0.1:9000",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+        }
+
+        async def scenario(mesh):
+            url = f"{mesh.nodes[0].operator_url}/v1"
+            document = test_operator_document.make_document(
+                version=1, limits=tight
+            )
+            for _ in range(2):
+                answer = await mesh.http.put(
+                    f"{url}/config", json=document, headers={"if-match": "0"}
+                )
+                assert answer.status_code == 200
+            await mesh.wait_for_version(1)
+            answer = await mesh.http.put(f"{url}/upstreams/i-1", json=heartbeat)
+            assert answer.status_code == 200
+            document = test_operator_document.make_document(version=2)
+            answer = await mesh.http.put(
+                f"{url}/config", json=document, headers={"if-match": "1"}
+            )
+            assert answer.status_code == 200
+
+        run_on_mesh(tmp_path, scenario)
+
+
 class TestSubmittedNumbers:
     def test_odd_version_in_if_match_is_refused(self, tmp_path):
         """Guards against an If-Match that ends the node that takes it."""
