Confine an unexpected error to its call, message, link or connection

Elsewhere an exception of the reducer was swallowed by the HTTP server, and the node ran on.

Cause: an exception in performing an effect went through the engine into whatever task had fed the event. A ProtocolError on a link was wrapped by its task group, so the mesh did not recognise it.

Evidence: test_engine: before, three malformed messages each ended a node (ExceptionGroup), and so did failures of Send, Dispatch and Forward.

Why it works: effects that concern one call or message fail alone, with event 114 and a counter, and the reducer hears of the end of a call that was not dispatched or forwarded. After any other failure the engine marks the error as fatal and the daemon ends with it, whoever catches it on the way.

--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -28,6 +28,11 @@
         "error",
         "The journal is damaged; the replica rejoins as a learner.",
     )
+    CONFINED_FAILURE = (
+        114,
+        "error",
+        "An unexpected error ended one call, message, link or connection.",
+    )
     LINK_UP = (120, "info", "A stream to a peer is established.")
     LINK_LOST = (121, "info", "The last stream to a peer ended.")
     PEER_REFUSED = (122, "warning", "A peer broke the protocol.")
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import pathlib
 import time
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -17,6 +18,7 @@
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.formats import settings_sections
 from monsoonpass.runtime import caller_app
+from monsoonpass.runtime import effect_failures
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import event_log
 from monsoonpass.runtime import http_server
@@ -106,6 +108,8 @@
             self.started.set()
             try:
                 await self._stopped.wait()
+                if self.engine.fatal_error is not None:
+                    raise self.engine.fatal_error
                 await self._finish_requests()
             finally:
                 self._http2_stop.set()
@@ -211,6 +215,8 @@
             self._caller_app.remote_attempts.handle_link_opened,
             self._caller_app.remote_attempts.handle_link_lost,
         )
+        engine.set_failure_handler(self._report_failure)
+        engine.set_fatal_handler(self._stopped.set)
         engine.set_performer(effects.FailCall, self._perform_fail_call)
         engine.set_performer(effects.Log, self._logger.write_effect)
         engine.set_performer(
@@ -293,7 +299,12 @@
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
-            app=app, limits=limits, is_closing=lambda: state.stopping
+            app=app,
+            limits=limits,
+            is_closing=lambda: state.stopping,
+            on_error=lambda error: self.engine.report_failure(
+                effect_failures.describe("HttpConnection", error)
+            ),
         )
         self._servers.append(server)
         await server.serve(listen.host, listen.port)
@@ -328,6 +339,10 @@
         if not self._peer_calls.receive_call_message(link, message):
             self._caller_app.remote_attempts.receive_call_message(link, message)
 
+    def _report_failure(self, fields: dict[str, Any]) -> None:
+        self._metrics.confined_failures.labels(fields["place"]).inc()
+        self._logger.write(log_events.Code.CONFINED_FAILURE, **fields)
+
     def _perform_fail_call(self, effect: effects.FailCall) -> None:
         if not self._caller_app.fail_call(effect):
             self._peer_calls.fail_call(effect)
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -19,6 +19,7 @@
 import anyio.abc
 import h11
 
+from monsoonpass import errors
 from monsoonpass.core.distribution import host_route
 from monsoonpass.runtime import parse_throttle
 
@@ -34,6 +35,16 @@
 # SO_LINGER with a timeout of 0 s: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# How an application's send fails if the caller is gone or slow, and how an
+# application ends an answer that has failed.
+CONNECTION_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    TimeoutError,
+    OSError,
+    errors.ResponseAbortedError,
+)
+
 App = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 
@@ -46,6 +57,7 @@
         app: App,
         limits: Callable[[], host_route.RequestLimits],
         is_closing: Callable[[], bool],
+        on_error: Callable[[Exception], None] = lambda error: None,
     ):
         """Store the application and its limits.
 
@@ -54,10 +66,13 @@
             limits: Returns the limits in force for requests.
             is_closing: Returns whether connections should be closed after
                 the next answer.
+            on_error: Called with an unexpected error, which ends only its
+                connection.
         """
         self.app = app
         self.limits = limits
         self.is_closing = is_closing
+        self.on_error = on_error
         self._accepting = anyio.CancelScope()
         self._listener_closed = anyio.Event()
         self._open_requests = 0
@@ -96,6 +111,8 @@
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
         try:
             await Connection(server=self, stream=stream).run()
+        except Exception as error:
+            self.on_error(error)
         finally:
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
@@ -187,7 +204,9 @@
             await self._server.app(
                 self._scope(request), self._receive, self._send
             )
-        except Exception:
+        except Exception as error:
+            if not isinstance(error, CONNECTION_ERRORS):
+                self._server.on_error(error)
             # The answer is incomplete. A reset keeps the caller from taking
             # it for a complete one.
             self._reset()
--- a/src/monsoonpass/runtime/link.py
+++ b/src/monsoonpass/runtime/link.py
@@ -100,13 +100,19 @@
         Raises:
             ProtocolError: The peer violated the protocol.
         """
+        violation: errors.ProtocolError | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._write_until_closed, group.cancel_scope)
             try:
                 await self._read_until_closed(receive)
+            except errors.ProtocolError as error:
+                # Raised after the group, which would wrap it in another error.
+                violation = error
             finally:
                 self.closed = True
                 group.cancel_scope.cancel()
+        if violation is not None:
+            raise violation
 
     async def abort(self) -> None:
         """Close the stream without flushing the send queue."""
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -17,6 +17,7 @@
 from monsoonpass.core.calls import call_messages
 from monsoonpass.formats import handshake
 from monsoonpass.formats import settings as settings_lib
+from monsoonpass.runtime import effect_failures
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import event_log
 from monsoonpass.runtime import link as link_lib
@@ -280,6 +281,10 @@
             self._logger.write(
                 log_events.Code.PEER_REFUSED, peer=instance, error=str(error)
             )
+        except Exception as error:
+            self._engine.report_failure(
+                effect_failures.describe("Link", error, peer=instance)
+            )
         finally:
             self._metrics.peer_links.dec()
             self._remove_link(link)
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -46,6 +46,8 @@
         peer_message_bytes: Bytes sent to peers, by type of message and by
             distance.
         disk_sync_duration: Time to write and sync a batch of journal records.
+        confined_failures: Unexpected errors that did not end the node, by the
+            effect or component that failed.
     """
 
     def __init__(self) -> None:
@@ -114,6 +116,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.confined_failures = prometheus_client.Counter(
+            "monsoonpass_confined_failures",
+            "Unexpected errors that did not end the node.",
+            ["place"],
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Return the registry in Prometheus's text format."""
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -14,6 +14,7 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.formats import header_names as header_names_lib
 from monsoonpass.runtime import body as body_lib
+from monsoonpass.runtime import effect_failures
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import tracing
 from monsoonpass.runtime import upstream_http
@@ -168,6 +169,13 @@
                 failure = _not_run_failure(error.reason)
             except errors.MonsoonpassError:
                 failure = _connection_failure(call)
+            except Exception as error:
+                self._engine.report_failure(
+                    effect_failures.describe(
+                        "UpstreamCall", error, owner_call_id=call.owner_call_id
+                    )
+                )
+                failure = _connection_failure(call)
         span.end(status=call.status)
         if finished:
             return
