Keep at least one slot of an upstream that has shed calls

What callers saw: after an upstream with one to three slots had refused a call, no call was sent to it any more.

Cause: a refusal lowers the limit to a quarter of the slots at least, which `usable` rounds down to 0; only an answer raises it, and none can come.

Evidence: TestFewSlots failed before with 1, 2 and 3 slots.

Why it works: with one slot left, the next answer raises the limit.

--- a/src/monsoonpass/core/calls/slots.py
+++ b/src/monsoonpass/core/calls/slots.py
@@ -50,9 +50,12 @@
     def usable(self) -> int:
         """Number of slots that may be used now.
 
-        Shed calls lower the number, answers raise it again.
+        Shed calls lower the number, answers raise it again. It stays at one or
+        more, since only an answer can raise it.
         """
-        return int(min(self.announced, self._limit))
+        if not self.announced:
+            return 0
+        return max(int(min(self.announced, self._limit)), 1)
 
     def reroutable_limit(self, now_s: float) -> int:
         """Return the number of slots for calls that other instances may serve.
@@ -90,7 +93,7 @@
         An upstream that sheds at random would shed the same share of calls at
         any limit, so a lower one would only cause more refusals.
         """
-        floor = self.announced * SHED_FLOOR_SHARE
+        floor = max(self.announced * SHED_FLOOR_SHARE, 1.0)
         if now_s - self._proven_at_s <= PROVEN_TTL_S:
             floor = max(floor, float(self._proven_concurrency))
         reduced = max(self._limit * SHED_FACTOR, floor)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,7 @@
 """Tests of admission: slots, classes, priorities and early refusal."""
 
+import pytest
+
 from monsoonpass.core.calls import admission
 from monsoonpass.core.calls import caller_timeouts
 from monsoonpass.core.calls import outcome
@@ -105,6 +107,29 @@
         assert len(controller.in_progress) == 8
 
 
+class TestFewSlots:
+    """An upstream with one to three slots sheds calls."""
+
+    @pytest.mark.parametrize("slots", [1, 2, 3])
+    def test_upstream_is_used_again_after_it_has_shed(self, slots):
+        """Guards against an upstream that is never used again."""
+        controller = make_admission(slots=slots)
+        for number in range(20):
+            now_s = float(number)
+            assert controller.offer(make_call(number), now_s).dispatched
+            controller.finish(
+                number, service_time_s=0.01, ok=False, now_s=now_s, shed=True
+            )
+        for number in range(100, 120):
+            now_s = float(number)
+            assert controller.offer(make_call(number), now_s).dispatched
+            controller.finish(number, service_time_s=0.01, ok=True, now_s=now_s)
+        dispatched = []
+        for number in range(200, 200 + slots):
+            dispatched += controller.offer(make_call(number), 200.0).dispatched
+        assert len(dispatched) == slots
+
+
 class TestSilence:
     def end_silently(self, controller, service_time_s: float) -> None:
         """End the oldest call in progress without any answer."""
