Let a call be aborted before its task has begun

What callers saw: requests reached an upstream long after their callers had left (GONE), most often just after a start or a stall.

Cause: a cancellation that is read together with its call aborts it before the task that sends it has begun. The call had no cancel scope until then, so the abort did nothing, and the call ran to its end.

Evidence: TestAbortAtOnce failed before (the connection was acquired).

Why it works: the scope is made when the call is dispatched; a scope that is cancelled before it is entered stops the task at its first wait, before anything is sent, and the call is told as not run.

--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -143,23 +143,26 @@
         call = self.calls[effect.owner_call_id]
         call.idempotent = effect.idempotent
         call.process_number = effect.process_number
-        self._group.start_soon(self._run_call, call, effect.timeout_s)
+        call.deadline_s = engine_lib.now_s() + effect.timeout_s
+        # Made here, since the call may be aborted before its task has begun.
+        call.cancel_scope = anyio.CancelScope(
+            deadline=anyio.current_time() + effect.timeout_s
+        )
+        self._group.start_soon(self._run_call, call)
 
     def _abort(self, effect: effects.AbortDispatch) -> None:
         call = self.calls.get(effect.owner_call_id)
         if call is not None and call.cancel_scope is not None:
             call.cancel_scope.cancel()
 
-    async def _run_call(self, call: UpstreamCall, timeout_s: float) -> None:
+    async def _run_call(self, call: UpstreamCall) -> None:
         started_s = engine_lib.now_s()
         failure = outcome.Failure(
             outcome=outcome.Outcome.UNKNOWN, reason=outcome.Reason.DEADLINE
         )
         span = self._tracer.start("upstream", call.traceparent)
         finished = False
-        with anyio.move_on_after(timeout_s) as scope:
-            call.cancel_scope = scope
-            call.deadline_s = started_s + timeout_s
+        with call.cancel_scope as scope:
             try:
                 await self._run_exchange(call, span, started_s)
                 finished = True
--- a/tests/test_upstream_runner.py
+++ b/tests/test_upstream_runner.py
@@ -5,10 +5,12 @@
 import anyio
 import pytest
 
+from monsoonpass.core import effects
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.formats import header_names
 from monsoonpass.runtime import body as body_lib
+from monsoonpass.runtime import tracing
 from monsoonpass.runtime import upstream_runner as upstream_runner_lib
 from tests import test_upstream_http
 
@@ -61,6 +63,22 @@
         test_upstream_http.run_with_server(serve, scenario)
 
 
+def make_call(*, sink=None) -> upstream_runner_lib.UpstreamCall:
+    """Return a call without a body, for process 1 of the upstream."""
+    return upstream_runner_lib.UpstreamCall(
+        owner_call_id=1,
+        method="GET",
+        target=b"/",
+        headers=(),
+        body_start=b"",
+        body_complete=True,
+        pipe=body_lib.Pipe(),
+        sink=sink,
+        traceparent="",
+        process_number=1,
+    )
+
+
 class ChangingPool:
     """Connection pool whose upstream changes while it connects."""
 
@@ -81,6 +99,69 @@
         self.released_count += 1
 
 
+class RecordingSink:
+    """Sink that records the failure of its call."""
+
+    def __init__(self):
+        self.failures: list[outcome.Failure] = []
+
+    def fail(self, failure) -> None:
+        self.failures.append(failure)
+
+
+class IdlePool:
+    """Connection pool that waits, as one does that opens a connection."""
+
+    upstream_id = b""
+    process_number = 1
+
+    def __init__(self):
+        self.acquired_count = 0
+
+    async def acquire(self, now_s, *, idempotent):
+        await anyio.lowlevel.checkpoint()
+        self.acquired_count += 1
+        await anyio.sleep_forever()
+
+
+class TestAbortAtOnce:
+    def test_call_aborted_before_its_task_begins_is_not_sent(self):
+        """Guards against work for a cancellation read with its call."""
+        finished = []
+        engine = types.SimpleNamespace(
+            set_performer=lambda effect, handler: None,
+            feed=lambda event_type, **fields: finished.append(fields),
+        )
+        pool = IdlePool()
+        runner = upstream_runner_lib.UpstreamRunner(
+            engine=engine,
+            pool=pool,
+            tracer=tracing.Tracer(instance="n", path=None, ratio=0.0),
+            header_names=header_names.HeaderNames(),
+        )
+        sink = RecordingSink()
+        runner.calls[1] = make_call(sink=sink)
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                group.start_soon(runner.run)
+                await anyio.sleep(0.01)
+                runner._dispatch(
+                    effects.Dispatch(
+                        owner_call_id=1, timeout_s=5.0, process_number=1
+                    )
+                )
+                runner._abort(effects.AbortDispatch(owner_call_id=1))
+                await anyio.sleep(0.05)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert pool.acquired_count == 0
+        assert [f.outcome for f in sink.failures] == [outcome.Outcome.NOT_RUN]
+        assert len(finished) == 1
+        assert not runner.calls
+
+
 class TestUpstreamChangesDuringConnect:
     """The upstream drains or is replaced while a call awaits a connection."""
 
@@ -105,18 +186,7 @@
             tracer=None,
             header_names=header_names.HeaderNames(),
         )
-        call = upstream_runner_lib.UpstreamCall(
-            owner_call_id=1,
-            method="GET",
-            target=b"/",
-            headers=(),
-            body_start=b"",
-            body_complete=True,
-            pipe=body_lib.Pipe(),
-            sink=None,
-            traceparent="",
-            process_number=1,
-        )
+        call = make_call()
         with pytest.raises(upstream_runner_lib.NotRunError) as error_info:
             anyio.run(upstream_runner._run_exchange, call, None, 0.0)
         assert not call.request_started
