See a close that stands behind a request before the request is served

Cause: the server reads a request and serves it; the close behind it in the same socket is read one turn of the loop later, after the request was sent on.

Why it works: a hang-up is visible to poll() while data before it is still unread, so the entry asks once, when it has read the request.

LocalMesh can run our own HTTP server; its default, HTTP/2 by hypercorn, is not what serves callers on the platform.

--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -95,6 +95,10 @@
             return
         connection = scope.get("extensions", {}).get("monsoonpass")
         if connection is not None:
+            if connection.is_caller_gone:
+                # A node that stalled reads requests of callers that gave up.
+                self._metrics.calls.labels("caller-gone").inc()
+                return
             connection.on_disconnect(exchange.put_caller_gone)
         call_id = exchange.call_id
         self._exchanges[call_id] = exchange
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import select
 import socket
 import struct
 from typing import Any
@@ -139,6 +140,9 @@
         self._discarding = False
         self._throttle = parse_throttle.ParseThrottle()
         self._pending_response: h11.Response | None = None
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._hangups = select.poll()
+        self._hangups.register(raw.fileno(), select.POLLRDHUP)
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -148,6 +152,11 @@
                 pass
             group.cancel_scope.cancel()
 
+    @property
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed, even if data before that is unread."""
+        return self._disconnected.is_set() or bool(self._hangups.poll(0))
+
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Set the function to call once the caller has disconnected.
 
--- a/src/monsoonpass/standin/local_mesh.py
+++ b/src/monsoonpass/standin/local_mesh.py
@@ -101,9 +101,11 @@
         voters: Sequence[str],
         folder: pathlib.Path,
         extra_settings: str = "",
+        http2: bool = True,
     ):
         ports = free_ports(3 * len(specs))
         self._extra_settings = extra_settings
+        self._http2 = http2
         self._voters = tuple(voters)
         self._folder = folder
         self._task_group: anyio.abc.TaskGroup | None = None
@@ -220,6 +222,7 @@
 callers = 127.0.0.1:{node.caller_port}
 operators = 127.0.0.1:{node.operator_port}
 peers = 127.0.0.1:{node.peer_port}
+http2 = {"yes" if self._http2 else "no"}
 [mesh]
 name = local
 secret = only-for-loopback
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,8 +1,10 @@
 """Tests of complete calls through real nodes on loopback."""
 
 import asyncio
+import collections
 import hashlib
 import pathlib
+import socket
 
 import anyio
 import h2.config
@@ -40,12 +42,17 @@
 TIMEOUT_S = 30.0
 
 
-def run_mesh(tmp_path: pathlib.Path, specs, scenario) -> None:
+def run_mesh(
+    tmp_path: pathlib.Path, specs, scenario, *, http2: bool = True
+) -> None:
     """Run a scenario on a mesh with `OPERATOR_TEXT` in force."""
 
     async def run() -> None:
         mesh = local_mesh.LocalMesh(
-            specs=specs, voters=[specs[0].instance], folder=tmp_path
+            specs=specs,
+            voters=[specs[0].instance],
+            folder=tmp_path,
+            http2=http2,
         )
         with anyio.fail_after(TIMEOUT_S):
             async with mesh:
@@ -294,6 +301,37 @@
         run_mesh(tmp_path, specs, scenario)
 
 
+class TestCallerLeavesAtOnce:
+    """The request and the close of its connection are read together."""
+
+    @pytest.mark.parametrize(
+        "specs", [ONE_NODE, TWO_NODES], ids=["direct", "one-hop"]
+    )
+    def test_call_of_a_caller_that_has_left_is_not_sent(self, tmp_path, specs):
+        """Guards against work for callers that left while the node stalled."""
+
+        async def scenario(mesh):
+            node = mesh.nodes[0]
+            for number in range(20):
+                # Nothing else runs until the close stands behind the request.
+                with socket.create_connection(
+                    ("127.0.0.1", node.caller_port)
+                ) as raw:
+                    raw.sendall(
+                        f"GET /lots?id=gone-{number} HTTP/1.1\r\n"
+                        "host: shop\r\n\r\n".encode()
+                    )
+                await anyio.sleep(0.05)
+            response = await call(mesh, node, "/lots?id=last")
+            assert response.status_code == 200
+            runs = sum(
+                (n.upstream.runs for n in mesh.nodes), collections.Counter()
+            )
+            assert runs == collections.Counter(last=1)
+
+        run_mesh(tmp_path, specs, scenario, http2=False)
+
+
 class TestStop:
     def test_planned_stop_interrupts_no_call(self, tmp_path):
         async def scenario(mesh):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server for callers, over loopback sockets."""
 
+import socket
+
 import anyio
 import anyio.lowlevel
 import pytest
@@ -86,6 +88,31 @@
 REQUEST = b"GET /lots HTTP/1.1\r\nhost: shop\r\n\r\n"
 
 
+class TestCallerGone:
+    def test_close_behind_a_request_is_seen_before_the_request_is_served(self):
+        """Guards against serving a caller that left while the node stalled."""
+        seen = []
+
+        async def app(scope, receive, send):
+            await receive()
+            connection = scope["extensions"]["monsoonpass"]
+            seen.append(connection.is_caller_gone)
+            await answer(send, b"late")
+
+        async def scenario(fixture):
+            stream = await fixture.open()
+            await stream.send(REQUEST)
+            await receive_until(stream, b"late")
+            # Nothing else runs until the close stands behind the request.
+            with socket.create_connection(("127.0.0.1", fixture.port)) as raw:
+                raw.sendall(REQUEST)
+            while len(seen) < 2:
+                await anyio.sleep(0.01)
+            assert seen == [False, True]
+
+        run_with_server(app, scenario)
+
+
 class TestConnections:
     def test_connection_serves_several_requests(self):
         async def scenario(fixture):
