Close a connection on which a long request body was refused

Cause: the connection was used again at once. The upstream reads the rest of the refused body only later, and the next call waits behind it.

Evidence: TestRefusedBody failed before for a body of 16,385 bytes.

Why it works: a refusal of a body over 16 KiB closes its connection; what is shorter fits into one read. It costs a new connection for each refused upload.

--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -49,6 +49,8 @@
         idle_since_s: Time at which the last exchange ended.
         idle_max_s: Longest idle time after which the connection is used
             again.
+        request_body_bytes: Length of the body of the last request, as far as
+            it was sent.
     """
 
     def __init__(self, *, stream: anyio.abc.SocketStream, process_number: int):
@@ -68,6 +70,7 @@
         self._poll = select.poll()
         self._poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         self.idle_since_s = 0.0
+        self.request_body_bytes = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -111,6 +114,7 @@
             )
             data = self._h11.send(request)
             self._request = request
+            self.request_body_bytes = len(body)
             if body:
                 data += self._h11.send(h11.Data(data=body))
             if ended:
@@ -128,6 +132,7 @@
         """
         try:
             data = self._h11.send(h11.Data(data=body)) if body else b""
+            self.request_body_bytes += len(body)
             if ended:
                 data += self._h11.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -19,6 +19,9 @@
 from monsoonpass.runtime import tracing
 from monsoonpass.runtime import upstream_http
 
+# A longer request body may take an upstream more than one read.
+UNREAD_BODY_BYTES = 16 * 1024
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -231,7 +234,11 @@
             call.answer_started = True
             call.status = head.status
             body_start, body_complete = await _receive_body_start(connection)
-            self._check_answer(call, head)
+            try:
+                self._check_answer(call, head)
+            except NotRunError:
+                body_complete &= _is_probably_read(connection)
+                raise
             if body_complete:
                 await self._forward_whole(call, head, body_start, started_s)
             else:
@@ -434,6 +441,15 @@
     return b"".join(parts), is_ended
 
 
+def _is_probably_read(connection: upstream_http.Connection) -> bool:
+    """Return whether a refused request was probably read as a whole.
+
+    An upstream may refuse a long request before it has read its body. The next
+    call on the connection would wait behind the rest.
+    """
+    return connection.request_body_bytes <= UNREAD_BODY_BYTES
+
+
 def _first_leaf(group: BaseExceptionGroup) -> BaseException:
     """Return the first error in a group that is not a group itself."""
     error: BaseException = group
--- a/tests/test_upstream_runner.py
+++ b/tests/test_upstream_runner.py
@@ -99,6 +99,57 @@
         self.released_count += 1
 
 
+class TestRefusedBody:
+    @pytest.mark.parametrize(
+        ("body_bytes", "is_kept"),
+        [
+            (100, True),
+            (upstream_runner_lib.UNREAD_BODY_BYTES, True),
+            (upstream_runner_lib.UNREAD_BODY_BYTES + 1, False),
+        ],
+    )
+    def test_no_call_waits_behind_a_refused_body(self, body_bytes, is_kept):
+        """Guards against calls that reach an upstream after callers left."""
+        admission = types.SimpleNamespace(
+            upstream=member_lib.UpstreamState.READY
+        )
+        engine = types.SimpleNamespace(
+            set_performer=lambda effect, handler: None,
+            state=types.SimpleNamespace(admission=admission),
+        )
+        call = make_call()
+        call.body_start = bytes(body_bytes)
+        length = str(body_bytes).encode()
+        call.headers = ((b"host", b"shop"), (b"content-length", length))
+        call.process_number = 0
+        call.deadline_s = 1e9
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive(1000)
+                await stream.send(
+                    b"HTTP/1.1 503 Full\r\nnot-run: 1\r\n"
+                    b"content-length: 0\r\n\r\n"
+                )
+                await anyio.sleep(5)
+
+        async def scenario(pool):
+            runner = upstream_runner_lib.UpstreamRunner(
+                engine=engine,
+                pool=pool,
+                tracer=None,
+                header_names=header_names.HeaderNames(not_run=b"not-run"),
+            )
+            span = tracing.Tracer(instance="n", path="", ratio=0.0).start(
+                "upstream", ""
+            )
+            with pytest.raises(upstream_runner_lib.NotRunError):
+                await runner._run_exchange(call, span, 0.0)
+            assert bool(pool._idle) is is_kept
+
+        test_upstream_http.run_with_server(serve, scenario)
+
+
 class RecordingSink:
     """Sink that records the failure of its call."""
 
