End the transfer of a request body with its request

What was seen: a node whose upstream rejects uploads of 5 MB early grew by 10 MB a second.

Cause: after the answer nobody reads the pipe of the body. The task that fills it waited for room for ever, with 256 KiB and the exchange, or for more of the request until its connection ended.

Why it works: the runner closes the pipe when its call ends, and `receive` of a request that is over returns a disconnect, so both waits end. A task of an earlier request can no longer read bytes of the next one either.

--- a/src/monsoonpass/runtime/body.py
+++ b/src/monsoonpass/runtime/body.py
@@ -24,6 +24,9 @@
 
     `push` never blocks: the writer limits the queue through credit or by
     `wait_writable`.
+
+    Attributes:
+        closed: Whether the reader has stopped reading.
     """
 
     def __init__(self) -> None:
@@ -33,6 +36,7 @@
         self._readable = anyio.Event()
         self._queued_bytes = 0
         self._writable = anyio.Event()
+        self.closed = False
 
     def push(self, chunk: bytes, *, ended: bool) -> None:
         """Append a chunk.
@@ -41,7 +45,7 @@
             chunk: Bytes of the body; may be empty.
             ended: Whether the body ends with this chunk.
         """
-        if chunk:
+        if chunk and not self.closed:
             self._chunks.append(chunk)
             self._queued_bytes += len(chunk)
         self._ended = self._ended or ended
@@ -52,6 +56,13 @@
         self._error = error
         self._readable.set()
 
+    def close(self) -> None:
+        """Drop the queued chunks and let the writer end."""
+        self.closed = True
+        self._chunks.clear()
+        self._queued_bytes = 0
+        self._writable.set()
+
     async def next(self) -> tuple[bytes, bool]:
         """Wait for the next chunk; return it, and whether it ends the body.
 
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -111,7 +111,7 @@
 async def fill_pipe(receive: Receive, pipe: body_lib.Pipe) -> None:
     """Move a request body into a pipe, pausing while the pipe is full."""
     ended = False
-    while not ended:
+    while not ended and not pipe.closed:
         event = await receive()
         if event["type"] != "http.request":
             pipe.fail(errors.CallerDisconnectedError("the caller disconnected"))
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import functools
 import select
 import socket
 import struct
@@ -133,6 +134,8 @@
         self._data_arrived = anyio.Event()
         self._buffer_writable = anyio.Event()
         self._disconnected = anyio.Event()
+        # Set once the current request is answered, or its caller has left.
+        self._request_over = anyio.Event()
         self._disconnect_callback: Callable[[], None] | None = None
         self._body_ended = False
         self._body_bytes = 0
@@ -187,10 +190,15 @@
                 self._h11.receive_data(data)
             self._data_arrived.set()
         self._disconnected.set()
-        self._data_arrived.set()
+        self._end_request()
         if self._disconnect_callback is not None:
             self._disconnect_callback()
 
+    def _end_request(self) -> None:
+        """End all waits of the application for more of the request."""
+        self._request_over.set()
+        self._data_arrived.set()
+
     async def _serve_next(self) -> bool:
         """Serve one request; return whether another may follow."""
         request = await self._next_request()
@@ -203,6 +211,8 @@
         """Answer one request; return whether another may follow."""
         self._body_ended = False
         self._body_bytes = 0
+        over = anyio.Event()
+        self._request_over = over
         self._body_max_bytes = self._server.limits().body_max_bytes
         self._throttle.reset()
         self._pending_response = None
@@ -211,7 +221,9 @@
             return False
         try:
             await self._server.app(
-                self._scope(request), self._receive, self._send
+                self._scope(request),
+                functools.partial(self._receive, over),
+                self._send,
             )
         except Exception as error:
             if not isinstance(error, CONNECTION_ERRORS):
@@ -222,6 +234,7 @@
             return False
         finally:
             self._disconnect_callback = None
+            self._end_request()
         if self._h11.our_state is h11.SEND_RESPONSE:
             if not self._disconnected.is_set():
                 # The body was too long, or did not arrive in time.
@@ -293,13 +306,20 @@
     def _body_is_too_long(self) -> bool:
         return self._body_bytes > self._body_max_bytes
 
-    async def _receive(self) -> dict[str, Any]:
+    async def _receive(self, over: anyio.Event) -> dict[str, Any]:
         """Return the next body or disconnect event (ASGI).
 
+        Once the request is over, a task that still reads its body gets a
+        disconnect, and no byte of the next request.
+
         A body that exceeds the limit is reported as a disconnect, so that the
         application ends the call; the connection then answers with status 413.
         """
-        while not self._body_ended and not self._body_is_too_long:
+        while (
+            not over.is_set()
+            and not self._body_ended
+            and not self._body_is_too_long
+        ):
             if self._throttle.is_pause_due:
                 await self._throttle.pause()
             try:
@@ -325,7 +345,7 @@
                 await self._write(self._h11.send(response))
             await self._wait_for_data()
         if not self._body_is_too_long:
-            await self._disconnected.wait()
+            await over.wait()
         return {"type": "http.disconnect"}
 
     def _next_body_part(self) -> bytes:
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -182,6 +182,7 @@
                     )
                 )
                 failure = _connection_failure(call)
+        call.pipe.close()
         span.end(status=call.status)
         if finished:
             return
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -85,6 +85,7 @@
     await answer(send)
 
 
+UPLOAD = b"POST / HTTP/1.1\r\nhost: shop\r\ncontent-length: 8\r\n\r\n"
 REQUEST = b"GET /lots HTTP/1.1\r\nhost: shop\r\n\r\n"
 
 
@@ -113,6 +114,40 @@
         run_with_server(app, scenario)
 
 
+class TestEarlyAnswer:
+    def test_task_that_reads_the_body_ends_with_the_request(self):
+        """Guards against a task kept for each upload that is answered early."""
+        events = []
+
+        async def app(scope, receive, send):
+            await receive()
+            if scope["method"] == "POST":
+                tasks.start_soon(read_on, receive)
+                await anyio.sleep(0.05)
+            await answer(send, scope["method"].encode())
+
+        async def read_on(receive):
+            while not events or events[-1] != "http.disconnect":
+                events.append((await receive())["type"])
+
+        async def scenario(fixture):
+            nonlocal tasks
+            async with anyio.create_task_group() as tasks:
+                stream = await fixture.open()
+                await stream.send(UPLOAD + b"half")
+                await anyio.sleep(0.02)
+                await stream.send(b"rest")
+                await receive_until(stream, b"POST")
+                await stream.send(REQUEST)
+                await receive_until(stream, b"GET")
+                with anyio.fail_after(5):
+                    while "http.disconnect" not in events:
+                        await anyio.sleep(0.01)
+
+        tasks = None
+        run_with_server(app, scenario)
+
+
 class TestConnections:
     def test_connection_serves_several_requests(self):
         async def scenario(fixture):
