Ignore events after a fatal error; name the first cause in its log line

A node whose reducer has failed handled further events until its loop came to the end of the process. `first_leaf` moved to errors, since both the runner and the log lines of confined failures need it.

--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -100,7 +100,7 @@
     ANNOUNCEMENT_WAITS = (
         506,
         "info",
-        "The upstream waits for members to report any notice of leaving.",
+        "The upstream waits until any notice of leaving would be known.",
     )
     NOTICE_NOT_STORED = (
         507,
--- a/src/monsoonpass/errors.py
+++ b/src/monsoonpass/errors.py
@@ -127,3 +127,10 @@
 
 class OperatorApiError(MonsoonpassError):
     """The operator endpoint refused a request or could not be reached."""
+
+
+def first_leaf(error: BaseException) -> BaseException:
+    """Return the first error in a group that is not a group itself."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/src/monsoonpass/runtime/effect_failures.py
+++ b/src/monsoonpass/runtime/effect_failures.py
@@ -9,6 +9,7 @@
 import functools
 from typing import Any
 
+from monsoonpass import errors
 from monsoonpass import immutable
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -97,7 +98,8 @@
         error: The error.
         **fields: What identifies the call, link or connection.
     """
-    text = f"{type(error).__name__}: {error}"[:200]
+    cause = errors.first_leaf(error)
+    text = f"{type(cause).__name__}: {cause}"[:200]
     return {"place": place, **fields, "error": text}
 
 
--- a/src/monsoonpass/runtime/engine.py
+++ b/src/monsoonpass/runtime/engine.py
@@ -61,6 +61,8 @@
         An event that is fed while an effect is performed is queued, and
         handled before the outer call returns.
 
+        After a fatal error, events are ignored: the process is ending.
+
         Args:
             event_type: The event's class.
             **fields: The event's fields except `now_s` and `random_bits`, which
@@ -71,6 +73,8 @@
                 survive. The process ends, even if the caller catches the
                 error.
         """
+        if self.fatal_error is not None:
+            return
         new_event = event_type(
             now_s=now_s(), random_bits=self._random.getrandbits(64), **fields
         )
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -290,7 +290,7 @@
                 head = await connection.receive_head(self._call_id_header(call))
                 group.cancel_scope.cancel()
         except ExceptionGroup as error:
-            raise _first_leaf(error) from error
+            raise errors.first_leaf(error) from error
         return head
 
     def _check_answer(
@@ -451,14 +451,6 @@
     return connection.request_body_bytes <= UNREAD_BODY_BYTES
 
 
-def _first_leaf(group: BaseExceptionGroup) -> BaseException:
-    """Return the first error in a group that is not a group itself."""
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
-
-
 def _has_length(headers: list[tuple[bytes, bytes]]) -> bool:
     return any(name == b"content-length" for name, _ in headers)
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -134,6 +134,9 @@
             scene.engine.feed(events.StopRequested)
         assert scene.has_ended
         assert isinstance(scene.engine.fatal_error, KeyError)
+        monkeypatch.setattr(engine_lib.reducer, "step", scene.step)
+        scene.engine.feed(events.StopRequested)
+        assert not scene.events
 
 
 class TestFatalError:
