--- a/src/monsoonpass/core/distribution/linearizable_read.py
+++ b/src/monsoonpass/core/distribution/linearizable_read.py
@@ -117,22 +117,12 @@
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=RETRY_INTERVAL_S)
     ]
-    target = _query_target(state, event, pending.attempts - 1)
+    target = voter_lookup.pick_leader(state, event, pending.attempts - 1)
     if target is not None and pending.confirmed_version < 0:
         result.append(_query(target, request_id))
     return result
 
 
-def _query_target(
-    state: node.Node, event: events.Event, previous_attempts: int
-) -> address_lib.Address | None:
-    """Return this node if it leads, otherwise the known leader or a voter."""
-    replica = state.control.replica
-    if replica is not None and replica.is_leader:
-        return state.settings.address
-    return voter_lookup.pick_leader_or_voter(state, event, previous_attempts)
-
-
 def _query(target: address_lib.Address, read_id: int) -> effects.Send:
     return effects.Send(to=target, message=messages.ColdRead(read_id=read_id))
 
--- a/tests/test_notice_storage.py
+++ b/tests/test_notice_storage.py
@@ -29,16 +29,17 @@
 
 def announce(mesh, *, sequence, **fields) -> None:
     """Let the upstream of `NODE` announce itself."""
+    announcement = {
+        "service": "shop",
+        "slots": 4,
+        "cold": False,
+        "port": 9000,
+        "upstream_id": "i-1",
+        "started_ms": STARTED_MS,
+        "sequence": sequence,
+    }
     mesh.nodes[NODE].feed(
-        events.UpstreamAnnounced,
-        service="shop",
-        slots=4,
-        cold=False,
-        port=9000,
-        upstream_id="i-1",
-        started_ms=STARTED_MS,
-        sequence=sequence,
-        **fields,
+        events.UpstreamAnnounced, **{**announcement, **fields}
     )
 
 
@@ -82,16 +83,7 @@
         give_notice(mesh, started_ms=STARTED_MS)
         mesh.run(0.3)
         restart_all(mesh, 1.0)
-        mesh.nodes[NODE].feed(
-            events.UpstreamAnnounced,
-            service="shop",
-            slots=4,
-            cold=False,
-            port=9000,
-            upstream_id="i-1",
-            started_ms=STARTED_MS + 1,
-            sequence=1,
-        )
+        announce(mesh, sequence=1, started_ms=STARTED_MS + 1)
         assert mesh.run_until(
             lambda: mesh.nodes[NODE].state.admission.accepts_calls,
             upstream_transition.CONTROL_GROUP_WAIT_S,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,6 +16,14 @@
     local_mesh.NodeSpec(instance="n0"),
     local_mesh.NodeSpec(instance="n1", service="shop"),
 )
+HEARTBEAT = {
+    "service": "shop",
+    "address": "127.0.0.1:9000",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 1,
+    "born": 1,
+}
 TOKEN = "a-token-for-the-tests"
 TOOL = "from monsoonpass.cli import tool; tool.run()"
 DAEMON = "from monsoonpass.cli import daemon; daemon.run()"
@@ -195,13 +203,6 @@
             "header_timeout_s": 0.001,
             "idle_timeout_s": 0.001,
         }
-        heartbeat = {
-            "service": "shop",
-            "address": "127.0.0.1:9000",
-            "slots": 4,
-            "state": "ready",
-            "sequence": 1,
-        }
 
         async def scenario(mesh):
             url = f"{mesh.nodes[0].operator_url}/v1"
@@ -214,7 +215,7 @@
                 )
                 assert answer.status_code == 200
             await mesh.wait_for_version(1)
-            answer = await mesh.http.put(f"{url}/upstreams/i-1", json=heartbeat)
+            answer = await mesh.http.put(f"{url}/upstreams/i-1", json=HEARTBEAT)
             assert answer.status_code == 200
             document = test_operator_document.make_document(version=2)
             answer = await mesh.http.put(
@@ -269,23 +270,15 @@
 
         Guard: `result.accepted` in operator_api._feed_announcement.
         """
-        heartbeat = {
-            "service": "shop",
-            "address": "127.0.0.1:9000",
-            "slots": 4,
-            "state": "ready",
-            "sequence": 1,
-            "born": 1,
-        }
         unnamed = {"service": "shop", "slots": 4, "port": 9000}
 
         async def scenario(mesh):
             url = f"{mesh.nodes[0].operator_url}/v1"
             named_url = f"{url}/upstreams/i-1"
-            response = await mesh.http.put(named_url, json=heartbeat)
+            response = await mesh.http.put(named_url, json=HEARTBEAT)
             assert response.status_code == 200
             for answer in (
-                await mesh.http.put(named_url, json=heartbeat),
+                await mesh.http.put(named_url, json=HEARTBEAT),
                 await mesh.http.post(f"{url}/upstream", json=unnamed),
             ):
                 assert answer.status_code == 409
@@ -295,14 +288,6 @@
 
     def test_odd_entries_are_refused_and_the_node_serves_on(self, tmp_path):
         """Guards against a number that ends the node when it is sent on."""
-        heartbeat = {
-            "service": "shop",
-            "address": "127.0.0.1:9000",
-            "slots": 4,
-            "state": "ready",
-            "sequence": 1,
-            "born": 1,
-        }
         nested = "[" * 5000 + "]" * 5000
         odd_values = {
             "sequence": [str(2**64), "1" + "0" * 400, "-1", "null"],
@@ -323,7 +308,7 @@
             url = f"{mesh.nodes[0].operator_url}/v1/upstreams/i-1"
             for name, values in odd_values.items():
                 for value in values:
-                    text = json.dumps({**heartbeat, name: "@"})
+                    text = json.dumps({**HEARTBEAT, name: "@"})
                     body = text.replace('"@"', value)
                     answer = await mesh.http.put(url, content=body)
                     assert answer.status_code == 422, (name, value[:30])
@@ -334,9 +319,9 @@
                 answer = await mesh.http.request("DELETE", url, content=body)
                 assert answer.status_code == 422, value[:30]
             long_url = f"{url}{'x' * 2000}"
-            answer = await mesh.http.put(long_url, json=heartbeat)
+            answer = await mesh.http.put(long_url, json=HEARTBEAT)
             assert answer.status_code == 422
-            answer = await mesh.http.put(url, json=heartbeat)
+            answer = await mesh.http.put(url, json=HEARTBEAT)
             assert answer.status_code == 200
 
         run_on_mesh(tmp_path, scenario)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -155,6 +155,15 @@
             self.mesh.run(0.02)
         return records
 
+    def stop_under_load(self, entry: str, path: str) -> list:
+        """Stop the node under load; return the calls since the stop began."""
+        self.load(2.0, entry, path)
+        self.stopping.feed(events.StopRequested)
+        records = self.load(GRACE_S, entry, path)
+        assert self.has_stopped
+        self.mesh.run(3.0)
+        return records
+
     @property
     def has_stopped(self) -> bool:
         """Whether the stop is complete."""
@@ -174,11 +183,7 @@
         Admission.
         """
         scene = StopScene()
-        scene.load(2.0, entry, path)
-        scene.stopping.feed(events.StopRequested)
-        records = scene.load(GRACE_S, entry, path)
-        assert scene.has_stopped
-        scene.mesh.run(3.0)
+        records = scene.stop_under_load(entry, path)
         lost = [
             record
             for record in records
@@ -200,11 +205,7 @@
         Stragglers take 19 times the usual time, just less than their deadline.
         """
         scene = StopScene(straggler_factor=19.0, straggler_interval=40)
-        scene.load(2.0, entry, path)
-        scene.stopping.feed(events.StopRequested)
-        records = scene.load(GRACE_S, entry, path)
-        assert scene.has_stopped
-        scene.mesh.run(3.0)
+        records = scene.stop_under_load(entry, path)
         given_up = [
             record
             for record in records
