Parse a heartbeat's address once, and If-Match in one place

Found on the last reading: Heartbeat.parse parsed the address only to check it, and the endpoint parsed it again; the version of If-Match was set, then replaced where the header is missing. No behaviour changes.

--- a/src/monsoonpass/formats/operator_models.py
+++ b/src/monsoonpass/formats/operator_models.py
@@ -69,14 +69,21 @@
             ValueError: The name or a field is not valid.
         """
         check_name(name)
-        heartbeat = _validate_json(cls, data)
+        return _validate_json(cls, data)
+
+    def host_port(self) -> settings_sections.HostPort:
+        """Return the parsed address.
+
+        Raises:
+            ValueError: The address is not valid.
+        """
         try:
-            port = settings_sections.HostPort.parse(heartbeat.address).port
+            parsed = settings_sections.HostPort.parse(self.address)
         except ValueError as error:
             raise ValueError("address: not an IP address and a port") from error
-        if not port:
+        if not parsed.port:
             raise ValueError("address: the port is 0")
-        return heartbeat
+        return parsed
 
 
 class Deregistration(pydantic.BaseModel):
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -25,7 +25,6 @@
 from monsoonpass.formats import bounds
 from monsoonpass.formats import operator_document
 from monsoonpass.formats import operator_models as models
-from monsoonpass.formats import settings_sections
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import event_log
 from monsoonpass.runtime import metrics as metrics_lib
@@ -194,15 +193,15 @@
         """
         self._check_token(scope)
         if_match = dict(scope["headers"]).get(b"if-match", b"").strip(b'" ')
-        base_version = bounds.parse_decimal(if_match or b"0")
+        base_version: int | None = submission.ANY_BASE
+        if if_match:
+            base_version = bounds.parse_decimal(if_match)
         if base_version is None:
             raise _error_response(400, "invalid", "If-Match is not a version")
         try:
             catalog = operator_document.compile_document(body)
         except errors.OperatorTextError as error:
             raise _error_response(400, "invalid", str(error)) from error
-        if not if_match:
-            base_version = submission.ANY_BASE
         return await self._submit_catalog(catalog, base_version)
 
     async def _submit_catalog(
@@ -320,7 +319,7 @@
         self._check_local(scope)
         try:
             heartbeat = models.Heartbeat.parse(_upstream_name(scope), body)
-            address = settings_sections.HostPort.parse(heartbeat.address)
+            address = heartbeat.host_port()
         except ValueError as error:
             raise self._reject_announcement(scope, str(error)) from error
         known_services = self._engine.state.config.catalog.services
