--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -84,9 +84,11 @@
     if not isinstance(value, tuple) or not value:
         raise errors.FrameDecodeError("a message must be a non-empty array")
     tag = value[0]
-    cls = _types.get(tag) if isinstance(tag, int) else None
+    if not isinstance(tag, int):
+        raise errors.FrameDecodeError(f"message tag {tag!r} is not a number")
+    cls = _types.get(tag)
     if cls is None:
-        raise errors.UnknownMessageError(f"unknown message tag {tag!r}")
+        raise errors.UnknownMessageError(f"unknown message tag {tag}")
     return _validate(cls, value[1:])
 
 
@@ -147,10 +149,13 @@
 
 
 def _name_fields(cls: type, fields: Any) -> dict[str, Any]:
-    """Map positional fields to their names, recursively, for validation."""
+    """Map positional fields to their names, recursively, for validation.
+
+    Newer builds append fields; those that this build does not know are ignored.
+    """
     field_definitions = dataclasses.fields(cls)
-    if not isinstance(fields, tuple) or len(fields) > len(field_definitions):
-        raise errors.FrameDecodeError(f"{cls.__name__}: wrong number of fields")
+    if not isinstance(fields, tuple):
+        raise errors.FrameDecodeError(f"{cls.__name__}: expected an array")
     values_by_name = {}
     readers = _field_readers(cls)
     for field_definition, reader, value in zip(
--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -36,6 +36,11 @@
     LINK_UP = (120, "info", "A stream to a peer is established.")
     LINK_LOST = (121, "info", "The last stream to a peer ended.")
     PEER_REFUSED = (122, "warning", "A peer broke the protocol.")
+    MESSAGE_SKIPPED = (
+        126,
+        "warning",
+        "A peer sent a message of a type that this build does not know.",
+    )
     DATAGRAM_REFUSED = (123, "warning", "A datagram was not valid.")
     TRAFFIC = (
         124,
--- a/src/monsoonpass/formats/framing.py
+++ b/src/monsoonpass/formats/framing.py
@@ -40,10 +40,13 @@
 
     Attributes:
         max_bytes: Maximum length of a frame, without its length prefix.
+        skipped: Descriptions of the messages that `feed` has skipped since
+            they were last taken, because this build does not know their types.
     """
 
     def __init__(self, *, max_bytes: int = FRAME_MAX_BYTES):
         self.max_bytes = max_bytes
+        self.skipped: list[str] = []
         self._buffer = bytearray()
         self._position = 0
 
@@ -79,6 +82,9 @@
     def feed(self, data: bytes) -> Iterator[Any]:
         """Append received bytes and yield the messages that they complete.
 
+        Messages of unknown types are skipped: during an upgrade, some peers
+        run a newer build.
+
         Args:
             data: The received bytes.
 
@@ -89,5 +95,12 @@
             ProtocolError: A frame is invalid, as for `pop`.
         """
         self.push(data)
-        while (message := self.pop()) is not None:
+        while True:
+            try:
+                message = self.pop()
+            except errors.UnknownMessageError as error:
+                self.skipped.append(str(error))
+                continue
+            if message is None:
+                return
             yield message
--- a/src/monsoonpass/runtime/link.py
+++ b/src/monsoonpass/runtime/link.py
@@ -22,6 +22,7 @@
 SEND_QUEUE_MAX_BYTES = 16 * 1024 * 1024
 RECEIVE_MAX_BYTES = 64 * 1024
 SEND_BATCH_BYTES = 64 * 1024
+REPORTED_SKIPS_MAX = 100  # Bounds what a faulty peer can add to the log.
 
 
 class LinkQueueFullError(errors.TransportError):
@@ -52,6 +53,7 @@
         reader: framing.FrameReader,
         count_bytes: Callable[[str, int], None],
         count_message: Callable[[Any, int], None],
+        report_skipped: Callable[[str], None],
     ):
         self._stream = stream
         self.peer = peer
@@ -60,6 +62,8 @@
         self._reader = reader
         self._count_bytes = count_bytes
         self._count_message = count_message
+        self._report_skipped = report_skipped
+        self._reported_skips: set[str] = set()
         self._urgent_frames: collections.deque[bytes] = collections.deque()
         self._bulk_frames: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
@@ -124,6 +128,8 @@
         while not self.closed:
             for message in self._reader.feed(data):
                 receive(message)
+            if self._reader.skipped:
+                self._report_new_skips()
             try:
                 data = await self._stream.receive(RECEIVE_MAX_BYTES)
             except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
@@ -132,6 +138,16 @@
                 return
             self._count_bytes("received", len(data))
 
+    def _report_new_skips(self) -> None:
+        """Report the unknown message types that are new on this link."""
+        new_skips = set(self._reader.skipped) - self._reported_skips
+        self._reader.skipped.clear()
+        if len(self._reported_skips) >= REPORTED_SKIPS_MAX:
+            return
+        self._reported_skips |= new_skips
+        for description in sorted(new_skips):
+            self._report_skipped(description)
+
     async def _write_until_closed(self, scope: anyio.CancelScope) -> None:
         while not self.closed:
             data = self._next_frames()
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -265,6 +265,11 @@
             reader=reader,
             count_bytes=self._make_byte_counter(peer_hello.data_centre),
             count_message=self._make_message_counter(instance),
+            report_skipped=lambda description: self._logger.write(
+                log_events.Code.MESSAGE_SKIPPED,
+                peer=instance,
+                error=description,
+            ),
         )
         self.links.setdefault(instance, []).append(link)
         self._metrics.peer_links.inc()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgpack
 import pytest
 import yaml
 
@@ -17,6 +18,7 @@
 from tests import fake_mesh
 
 SECRET = b"0123456789abcdef"
+UNKNOWN_TAG = 60000  # No build registers it.
 VALID_SETTINGS = """
 [node]
 instance = n1
@@ -104,6 +106,35 @@
         except errors.ProtocolError:
             return
 
+    def test_message_of_an_unknown_type_is_skipped(self):
+        """A link closed at the first message of a newer build's new type.
+
+        Guard: `UnknownMessageError` in FrameReader.feed.
+        """
+        known = call_messages.CallCancel(call=1)
+        payload = msgpack.packb([UNKNOWN_TAG, "new"])
+        frame = len(payload).to_bytes(framing.LENGTH_BYTES, "big") + payload
+        reader = framing.FrameReader()
+        received = list(reader.feed(frame + framing.pack(known) + frame))
+        assert received == [known]
+        assert len(reader.skipped) == 2
+
+    def test_unknown_type_in_a_handshake_is_an_error(self):
+        payload = msgpack.packb([UNKNOWN_TAG])
+        reader = framing.FrameReader()
+        reader.push(len(payload).to_bytes(framing.LENGTH_BYTES, "big"))
+        reader.push(payload)
+        with pytest.raises(errors.UnknownMessageError):
+            reader.pop()
+
+    def test_field_that_a_newer_build_appended_is_ignored(self):
+        """A link closed at the first message with an appended field.
+
+        Guard: no upper bound on the number of fields in codec._name_fields.
+        """
+        payload = msgpack.packb([103, 1, "appended"])
+        assert codec.decode(payload) == call_messages.CallCancel(call=1)
+
 
 class TestDatagrams:
     def test_signed_datagram_is_decoded(self):
