--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -102,7 +102,7 @@
                 self._caller_app.run,
             ):
                 group.start_soon(task)
-            self._start_http_servers(group)
+            await self._start_http_servers(group)
             await anyio.lowlevel.checkpoint()
             self._feed_started()
             self.started.set()
@@ -268,7 +268,8 @@
             journal=self._journal.records if self._journal else (),
         )
 
-    def _start_http_servers(self, group: anyio.abc.TaskGroup) -> None:
+    async def _start_http_servers(self, group: anyio.abc.TaskGroup) -> None:
+        """Start the servers; those of this package listen on return."""
         listen = self._settings.listen
         state = self.engine.state
         for address in listen.callers:
@@ -277,14 +278,14 @@
                     self._serve_http2, address, self._caller_app.app
                 )
                 continue
-            group.start_soon(
+            await group.start(
                 self._serve,
                 address,
                 self._caller_app.app,
                 lambda: state.config.catalog.limits,
             )
         for address in listen.operators:
-            group.start_soon(
+            await group.start(
                 self._serve,
                 address,
                 self._operator_api.app,
@@ -296,6 +297,8 @@
         listen: settings_sections.HostPort,
         app: http_server.App,
         limits: Callable[[], host_route.RequestLimits],
+        *,
+        task_status: anyio.abc.TaskStatus[None],
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
@@ -307,7 +310,7 @@
             ),
         )
         self._servers.append(server)
-        await server.serve(listen.host, listen.port)
+        await server.serve(listen.host, listen.port, task_status=task_status)
 
     async def _serve_http2(
         self, listen: settings_sections.HostPort, app: http_server.App
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -80,11 +80,24 @@
         self._open_requests = 0
         self._requests_ended = anyio.Event()
 
-    async def serve(self, host: str, port: int) -> None:
-        """Serve until cancelled."""
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled.
+
+        Args:
+            host: Address to listen on.
+            port: Port to listen on.
+            task_status: Notified once connections are accepted.
+        """
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=BACKLOG
         )
+        task_status.started()
         async with anyio.create_task_group() as group:
             async with listener:
                 with self._accepting:
--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -342,12 +342,19 @@
             those of earlier processes.
     """
 
-    def __init__(self, *, host: str, connections_max: int):
+    def __init__(
+        self,
+        *,
+        host: str,
+        connections_max: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ):
         self.host = host
         self.port = 0
         self.upstream_id = b""
         self.process_number = 0
         self._idle: list[Connection] = []
+        self._connect_timeout_s = connect_timeout_s
         self._slots = anyio.Semaphore(connections_max)
 
     def switch_process(
@@ -431,7 +438,7 @@
             raise errors.UpstreamConnectError("no upstream is announced")
         process_number = self.process_number
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with anyio.fail_after(self._connect_timeout_s):
                 stream = await anyio.connect_tcp(self.host, self.port)
         except (OSError, TimeoutError) as error:
             raise errors.UpstreamConnectError(str(error)) from error
--- a/tests/test_local_mesh.py
+++ b/tests/test_local_mesh.py
@@ -45,3 +45,30 @@
             with pytest.raises(BaseExceptionGroup) as raised:
                 anyio.run(run)
         assert raised.group_contains(OSError)
+
+    def test_started_node_accepts_operators(self, tmp_path, monkeypatch):
+        """The first announcement after a start found its port closed.
+
+        Guard: `group.start` in Daemon._start_http_servers.
+        """
+        create_listener = anyio.create_tcp_listener
+
+        async def create_listener_late(**options):
+            # As slow as resolving the address was on a busy machine.
+            await anyio.sleep(0.1)
+            return await create_listener(**options)
+
+        monkeypatch.setattr(anyio, "create_tcp_listener", create_listener_late)
+        mesh = local_mesh.LocalMesh(
+            specs=(local_mesh.NodeSpec(instance="n0"),),
+            voters=("n0",),
+            folder=tmp_path,
+        )
+
+        async def run():
+            with anyio.fail_after(20):
+                async with mesh:
+                    url = f"{mesh.nodes[0].operator_url}/healthz"
+                    return (await mesh.http.get(url)).status_code
+
+        assert anyio.run(run) == 200
