--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -19,6 +19,7 @@
 from monsoonpass import errors
 
 DIGEST_BYTES = 16  # Makes collisions negligible for any number of records.
+_IS_APPENDED = "monsoonpass_is_appended"
 
 _tags: dict[type, int] = {}
 _types: dict[int, type] = {}
@@ -49,6 +50,22 @@
     return decorate
 
 
+def appended_field(*, default: Any, repr: bool = True) -> Any:
+    """Return a field that is appended to a class that builds already encode.
+
+    Such fields come last. They are left out of the encoding as long as they and
+    all fields after them have their defaults, so the encoding and the digest of
+    a value that does not use them are those of earlier builds.
+
+    Args:
+        default: Value of the field if the encoding does not contain it.
+        repr: Whether the field is part of the class's representation.
+    """
+    return dataclasses.field(
+        default=default, repr=repr, metadata={_IS_APPENDED: True}
+    )
+
+
 def encode(message: Any) -> bytes:
     """Encode a registered message.
 
@@ -118,7 +135,18 @@
     try:
         return _type_adapter(cls).validate_python(_name_fields(cls, fields))
     except pydantic.ValidationError as error:
-        raise errors.FrameDecodeError(f"{cls.__name__}: {error}") from error
+        raise errors.FrameDecodeError(
+            f"{cls.__name__}: {_describe(error)}"
+        ) from None
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Describe the first fault without its value, which may be a secret."""
+    fault = error.errors(
+        include_url=False, include_context=False, include_input=False
+    )[0]
+    location = ".".join(str(part) for part in fault["loc"])
+    return f"{location}: {fault['msg']}"
 
 
 @functools.cache
@@ -131,13 +159,45 @@
     """Return a function that converts an instance to a list of fields."""
     names = [field.name for field in dataclasses.fields(cls)]
     readers = _field_readers(cls)
+    pack: Callable[[Any], list[Any]]
     if not any(readers):
-        return lambda message: [getattr(message, name) for name in names]
 
-    def pack(message: Any) -> list[Any]:
-        return [_to_plain(getattr(message, name)) for name in names]
+        def pack(message: Any) -> list[Any]:
+            return [getattr(message, name) for name in names]
+
+    else:
+
+        def pack(message: Any) -> list[Any]:
+            return [_to_plain(getattr(message, name)) for name in names]
+
+    defaults = _appended_defaults(cls)
+    return _omit_defaults(pack, defaults) if defaults else pack
+
+
+def _appended_defaults(cls: type) -> list[Any]:
+    """Return the encoded defaults of the appended fields that end a class."""
+    defaults: list[Any] = []
+    for field in reversed(dataclasses.fields(cls)):
+        if not field.metadata.get(_IS_APPENDED):
+            break
+        defaults.insert(0, _to_plain(field.default))
+    return defaults
+
+
+def _omit_defaults(
+    pack: Callable[[Any], list[Any]], defaults: list[Any]
+) -> Callable[[Any], list[Any]]:
+    """Return a packer that leaves out appended fields with their defaults."""
+
+    def pack_without_defaults(message: Any) -> list[Any]:
+        values = pack(message)
+        for default in reversed(defaults):
+            if values[-1] != default:
+                break
+            del values[-1]
+        return values
 
-    return pack
+    return pack_without_defaults
 
 
 def _to_plain(value: Any) -> Any:
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -49,6 +49,9 @@
             upstream.
         body_rest_bytes: Length of the part of the request body that had not
             arrived with the call.
+        workspace: Name of the caller's workspace, or empty.
+        workspace_priority: Priority of the workspace, or None if the route's
+            applies.
     """
 
     call_id: int
@@ -66,6 +69,8 @@
     hedged: bool = False
     upstreams_reached: int = 0
     body_rest_bytes: int = 0
+    workspace: str = ""
+    workspace_priority: int | None = None
 
     @property
     def may_try_another_upstream(self) -> bool:
--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -4,6 +4,7 @@
 using it until they end.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -49,6 +50,11 @@
     deadline_s: float
     bulk: bool
 
+    @property
+    def public(self) -> bool:
+        """Whether a call needs no key; only host routes can be public."""
+        return False
+
     @property
     def attempts_max(self) -> int:
         """The number of upstreams that one call may be sent to."""
@@ -107,6 +113,34 @@
         return tuple(sorted(self.routes, key=lambda r: -len(r.path)))
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Workspace:
+    """A tenant of the mesh, which its callers' keys identify.
+
+    Attributes:
+        name: The name that upstreams receive.
+        keys: Keys of its callers; secret, so never displayed.
+        priority: Admission priority of its calls, or None for that of the
+            route.
+        rate_per_s: Requests a second that it may send; 0 or None for no limit.
+        burst: Requests that it may send in addition to the rate.
+        extra_json: Unrecognised fields of the operator's document, as JSON, or
+            empty.
+    """
+
+    name: str
+    keys: tuple[str, ...] = dataclasses.field(default=(), repr=False)
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float = 0.0
+    extra_json: str = dataclasses.field(default="", repr=False)
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """The digest of all fields."""
+        return codec.digest(self)
+
+
 @codec.register(10)
 @immutable.dataclass
 class Snapshot:
@@ -117,6 +151,7 @@
     services: tuple[Service, ...]
     routes: tuple[host_route.HostRoute, ...] = ()
     limits: host_route.RequestLimits = host_route.DEFAULT_LIMITS
+    workspaces: tuple[Workspace, ...] = codec.appended_field(default=())
 
 
 @codec.register(12)
@@ -135,6 +170,8 @@
         routes_order: Order of all host routes after the change, as index
             ranges into the base's routes followed by `routes_changed`.
         limits: Request limits after the change.
+        workspaces_changed: Workspaces that were added or modified.
+        workspaces_removed: Names of the workspaces that were removed.
     """
 
     base_version: int
@@ -146,6 +183,8 @@
     routes_changed: tuple[host_route.HostRoute, ...] = ()
     routes_order: tuple[host_route.IndexRange, ...] = ()
     limits: host_route.RequestLimits = host_route.DEFAULT_LIMITS
+    workspaces_changed: tuple[Workspace, ...] = codec.appended_field(default=())
+    workspaces_removed: tuple[str, ...] = codec.appended_field(default=())
 
     @functools.cached_property
     def packed(self) -> bytes:
@@ -165,6 +204,8 @@
         services: Services by name.
         routes: Host routes, in the operator's order.
         limits: Limits on callers' requests.
+        workspaces: Workspaces by name, in the order of the names; empty if
+            requests need no key.
         digest: Digest of the content, excluding the version.
     """
 
@@ -175,6 +216,7 @@
         services: Mapping[str, Service],
         routes: tuple[host_route.HostRoute, ...] = (),
         limits: host_route.RequestLimits = host_route.DEFAULT_LIMITS,
+        workspaces: Iterable[Workspace] = (),
     ):
         """Build a catalog.
 
@@ -183,6 +225,7 @@
             services: Services by name.
             routes: Host routes, in the operator's order.
             limits: Limits on callers' requests.
+            workspaces: Workspaces, in any order.
 
         Raises:
             DanglingReferenceError: A dependency or a host route names a
@@ -192,6 +235,10 @@
         self.services = dict(services)
         self.routes = routes
         self.limits = limits
+        self.workspaces = {
+            workspace.name: workspace
+            for workspace in sorted(workspaces, key=lambda item: item.name)
+        }
         for service in self.services.values():
             for name in service.depends_on:
                 if name not in self.services:
@@ -206,12 +253,26 @@
                         f"route {route.name} names {name}, "
                         f"which version {version} does not contain"
                     )
-        self.digest = _content_digest(self.services.values(), routes, limits)
+        self.digest = _content_digest(
+            self.services.values(), routes, limits, self.workspaces.values()
+        )
 
     @functools.cached_property
     def _host_route_table(self) -> host_route.HostRouteTable:
         return host_route.HostRouteTable(routes=self.routes)
 
+    @functools.cached_property
+    def _workspaces_by_key(self) -> dict[bytes, Workspace]:
+        return {
+            key.encode(): workspace
+            for workspace in self.workspaces.values()
+            for key in workspace.keys
+        }
+
+    def find_workspace(self, key: bytes) -> Workspace | None:
+        """Return the workspace with a key, or None if the key is unknown."""
+        return self._workspaces_by_key.get(key)
+
     def match(self, host: str, method: str, path: str) -> RouteMatch | None:
         """Find the route of a call by host.
 
@@ -271,6 +332,7 @@
             ),
             routes=self.routes,
             limits=self.limits,
+            workspaces=tuple(self.workspaces.values()),
         )
 
     @functools.cached_property
@@ -301,6 +363,14 @@
             routes_changed=routes_changed,
             routes_order=routes_order,
             limits=newer.limits,
+            workspaces_changed=tuple(
+                workspace
+                for name, workspace in newer.workspaces.items()
+                if self.workspaces.get(name) != workspace
+            ),
+            workspaces_removed=tuple(
+                name for name in self.workspaces if name not in newer.workspaces
+            ),
         )
 
     def apply(self, delta: Delta) -> "Catalog":
@@ -340,10 +410,22 @@
                 self.routes, delta.routes_changed, delta.routes_order
             ),
             limits=delta.limits,
+            workspaces=self._apply_workspaces(delta),
         )
         _check_digest(result, delta.digest)
         return result
 
+    def _apply_workspaces(self, delta: Delta) -> Iterable[Workspace]:
+        """Return the workspaces after a delta."""
+        if not delta.workspaces_changed and not delta.workspaces_removed:
+            return self.workspaces.values()
+        workspaces = dict(self.workspaces)
+        for name in delta.workspaces_removed:
+            workspaces.pop(name, None)
+        for workspace in delta.workspaces_changed:
+            workspaces[workspace.name] = workspace
+        return workspaces.values()
+
 
 def from_snapshot(snapshot: Snapshot) -> Catalog:
     """Build a catalog from a snapshot.
@@ -364,6 +446,7 @@
         services=services,
         routes=snapshot.routes,
         limits=snapshot.limits,
+        workspaces=snapshot.workspaces,
     )
     _check_digest(result, snapshot.digest)
     return result
@@ -380,8 +463,11 @@
     services: Iterable[Service],
     routes: tuple[host_route.HostRoute, ...],
     limits: host_route.RequestLimits,
+    workspaces: Collection[Workspace],
 ) -> bytes:
     ordered = sorted(services, key=lambda service: service.name)
+    # Without workspaces, the digest is that of builds that do not know them.
+    workspace_marker = (b"workspaces",) if workspaces else ()
     return codec.digest_bytes(
         b"".join(
             (
@@ -389,6 +475,8 @@
                 b"routes",
                 *[route.digest for route in routes],
                 codec.canonical_bytes(limits),
+                *workspace_marker,
+                *(workspace.digest for workspace in workspaces),
             )
         )
     )
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -56,6 +56,7 @@
         parts: Weighted services that share the calls, or empty.
         extra_json: Unrecognised fields of the operator's document, as JSON, or
             empty.
+        public: Whether a call needs no key of a workspace.
     """
 
     name: str
@@ -69,6 +70,7 @@
     service: str = ""
     parts: tuple[WeightedService, ...] = ()
     extra_json: str = ""
+    public: bool = codec.appended_field(default=False)
 
     @functools.cached_property
     def host_and_path(self) -> str:
