--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -55,7 +55,10 @@
         self.queue_limit = queue_limit
         self.end_s = math.inf
         self._queue: list[
-            tuple[tuple[int, bool, float, int], owner_call_lib.OwnerCall]
+            tuple[
+                tuple[tuple[int, int], bool, float, int],
+                owner_call_lib.OwnerCall,
+            ]
         ] = []
         self._times = service_times.ServiceTimes()
         self._pace = queue_pace.QueuePace()
@@ -163,7 +166,7 @@
             return decision
         self._short_arrivals.advance(now_s)
         if not self.is_long(call):
-            self._short_arrivals.count(call.priority)
+            self._short_arrivals.count(call.rank)
         service_time_s = self.expected_service_time_s(call.route)
         call.is_late = now_s + service_time_s > call.objective_deadline_s
         call.queued_ahead = self._queued_ahead(call)
@@ -180,7 +183,7 @@
         )
         if is_too_late and not call.is_probe:
             excess_s = done_s - min(call.objective_deadline_s, call.deadline_s)
-            age_s = self._overload_age.record_refusal(call.priority, now_s)
+            age_s = self._overload_age.record_refusal(call.rank, now_s)
             retry_after_s = max(excess_s, age_s)
             decision.refused.append(
                 _make_refusal(call, outcome.Reason.OVERLOADED, retry_after_s)
@@ -341,16 +344,16 @@
         """Return whether a call belongs to the long class."""
         return self._times.is_long(call.route, default=call.bulk)
 
-    def _reserved_for_short(self, priority: int) -> int:
+    def _reserved_for_short(self, rank: tuple[int, int]) -> int:
         """Return the slots that a long call leaves free (Little's law).
 
         Only short calls that are at least as urgent count, so that a more
         urgent long call does not wait for less urgent short ones.
 
         Args:
-            priority: Priority of the long call.
+            rank: Rank of the long call.
         """
-        rate = self._short_arrivals.rate(priority)
+        rate = self._short_arrivals.rate(rank)
         expected = rate * self._times.median_s * RESERVE_MARGIN
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
@@ -369,7 +372,7 @@
             call = self._queue[position][1]
             call.is_long = self.is_long(call)
             if call.is_long and self.slots > 1:
-                reserved = self._reserved_for_short(call.priority)
+                reserved = self._reserved_for_short(call.rank)
                 if long_running >= usable - reserved:
                     position += 1
                     continue
--- a/src/monsoonpass/core/calls/arrival_rates.py
+++ b/src/monsoonpass/core/calls/arrival_rates.py
@@ -1,14 +1,16 @@
-"""Rates at which calls of each priority arrive."""
+"""Rates at which calls of each rank arrive."""
+
+Rank = tuple[int, int]  # `OwnerCall.rank`.
 
 WINDOW_S = 0.5  # Window in which arrivals are counted.
 
 
 class ArrivalRates:
-    """Smoothed arrivals a second, by priority."""
+    """Smoothed arrivals a second, by rank."""
 
     def __init__(self) -> None:
-        self._rates: dict[int, float] = {}
-        self._counts: dict[int, int] = {}
+        self._rates: dict[Rank, float] = {}
+        self._counts: dict[Rank, int] = {}
         self._window_start_s = 0.0
 
     def advance(self, now_s: float) -> None:
@@ -16,18 +18,16 @@
         elapsed_s = now_s - self._window_start_s
         if elapsed_s < WINDOW_S:
             return
-        for priority, count in self._counts.items():
-            previous = self._rates.get(priority, 0.0)
-            self._rates[priority] = (count / elapsed_s + previous) / 2.0
-            self._counts[priority] = 0
+        for rank, count in self._counts.items():
+            previous = self._rates.get(rank, 0.0)
+            self._rates[rank] = (count / elapsed_s + previous) / 2.0
+            self._counts[rank] = 0
         self._window_start_s = now_s
 
-    def count(self, priority: int) -> None:
+    def count(self, rank: Rank) -> None:
         """Count the arrival of a call."""
-        self._counts[priority] = self._counts.get(priority, 0) + 1
+        self._counts[rank] = self._counts.get(rank, 0) + 1
 
-    def rate(self, priority: int) -> float:
-        """Return the arrivals a second of this priority and all above it."""
-        return sum(
-            rate for other, rate in self._rates.items() if other <= priority
-        )
+    def rate(self, rank: Rank) -> float:
+        """Return the arrivals a second of this rank and all above it."""
+        return sum(rate for other, rate in self._rates.items() if other <= rank)
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -150,7 +150,7 @@
     if choice.instance == state.settings.address.instance:
         owner_call = owner_call_lib.OwnerCall(
             owner_call_id=call.call_id,
-            priority=call.route.priority,
+            priority=call.priority,
             deadline_s=call.deadline_s,
             bulk=call.route.bulk,
             route=call.statistics_key,
@@ -158,6 +158,7 @@
             reroutable=choice.reroutable and number == 1,
             idempotent=call.route.idempotent,
             objective_deadline_s=call.objective_deadline_s,
+            route_priority=call.route_priority,
         )
         decision = state.admission.offer(owner_call, event.now_s)
         return [
@@ -175,9 +176,10 @@
         route=call.statistics_key,
         bulk=call.route.bulk,
         idempotent=call.route.idempotent,
-        priority=call.route.priority,
+        priority=call.priority,
         reroutable=choice.reroutable and number == 1,
         objective_s=call.objective_deadline_s - event.now_s - choice.rtt_s,
+        route_priority=call.route_priority,
     )
     return [forward, *hedging.arm(state, call)]
 
@@ -319,8 +321,17 @@
     event: events.Event,
     call_id: int,
     failure: outcome.Failure,
+    **context: object,
 ) -> list[effects.Effect]:
-    """End a call with its final failure and settle its idempotency key."""
+    """End a call with its final failure and settle its idempotency key.
+
+    Args:
+        state: The node.
+        event: The event being handled.
+        call_id: The call.
+        failure: Its final failure.
+        **context: Log fields of a call that ended before it had a record.
+    """
     call = state.calls.pop(call_id, None)
     failure = retry_after.with_retry_after(failure, event.random_bits)
     cancels = cancel_timers(call) if call else []
@@ -332,7 +343,7 @@
         effects.FailCall(
             call_id=call_id,
             failure=failure,
-            context=_failure_context(state, event, call) if call else {},
+            context=_failure_context(state, event, call) if call else context,
         ),
     ]
 
@@ -341,7 +352,7 @@
     state: node.Node, event: events.Event, call: call_lib.Call
 ) -> dict[str, object]:
     """Return the log fields that explain a failure."""
-    return {
+    result: dict[str, object] = {
         "route": call.statistics_key,
         "service": call.service,
         "after_ms": round((event.now_s - call.arrived_s) * 1000),
@@ -350,6 +361,9 @@
         "version": state.config.version,
         "known": len(state.membership.table.by_service.get(call.service, {})),
     }
+    if call.workspace:
+        result["workspace"] = call.workspace
+    return result
 
 
 def cancel_timers(call: call_lib.Call) -> list[effects.Effect]:
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -72,6 +72,20 @@
     workspace: str = ""
     workspace_priority: int | None = None
 
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace if it has one, else of the route."""
+        if self.workspace_priority is None:
+            return self.route.priority
+        return self.workspace_priority
+
+    @property
+    def route_priority(self) -> int | None:
+        """Priority of the route if `priority` is the workspace's, else None."""
+        if self.workspace_priority is None:
+            return None
+        return self.route.priority
+
     @property
     def may_try_another_upstream(self) -> bool:
         """Whether the attempt limit of the route allows another upstream."""
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -19,6 +19,8 @@
 from monsoonpass.core.calls import owner_call as owner_call_lib
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import weighted_round_robin
+from monsoonpass.core.distribution import catalog as catalog_lib
+from monsoonpass.core.distribution import host_route
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.keys import ledger
 from monsoonpass.core.membership import directory
@@ -46,6 +48,15 @@
             call_lib.not_run_failure(Reason.NO_ROUTE, None),
         )
     route = match.route
+    if not _is_permitted(state, event, route):
+        return attempts.fail_call(
+            state,
+            event,
+            event.call_id,
+            call_lib.not_run_failure(Reason.UNKNOWN_KEY, None),
+            route=match.statistics_key,
+        )
+    workspace = event.workspace
     timeout_s = route.deadline_s
     if event.timeout_s is not None:
         timeout_s = min(timeout_s, event.timeout_s)
@@ -64,6 +75,8 @@
         deadline_s=event.now_s + timeout_s,
         objective_deadline_s=event.now_s + route.objective_s - used_s,
         body_rest_bytes=event.body_rest_bytes,
+        workspace=workspace.name if workspace else "",
+        workspace_priority=workspace.priority if workspace else None,
     )
     if not attempts.fits_before_stop(state, event, call):
         refusal = call_lib.not_run_failure(Reason.DRAINING, None)
@@ -86,7 +99,7 @@
         event,
         call_id=event.call_id,
         service=service,
-        key=event.key,
+        key=_ledger_key(event.key, call.workspace),
         fingerprint=event.fingerprint,
     )
 
@@ -309,6 +322,7 @@
         reroutable=event.reroutable,
         idempotent=event.idempotent,
         objective_deadline_s=event.now_s + event.objective_s,
+        route_priority=event.route_priority,
     )
     if event.service != state.admission.service:
         refusal = call_lib.not_run_failure(Reason.NO_UPSTREAM, None)
@@ -343,6 +357,28 @@
     return giving_up.give_up(state, event, call, Reason.DEADLINE)
 
 
+def _is_permitted(
+    state: node.Node,
+    event: events.CallArrived,
+    route: catalog_lib.Route | host_route.HostRoute,
+) -> bool:
+    """Return whether the key of a call, or its absence, permits the route."""
+    if not state.config.catalog.workspaces:
+        return True
+    if event.has_unknown_key:
+        return False
+    return event.workspace is not None or route.public
+
+
+def _ledger_key(key: str, workspace: str) -> str:
+    """Return the idempotency key under which the ledger keeps a call.
+
+    Callers of two workspaces may choose the same key, and must not receive each
+    other's answers. No header contains the separator.
+    """
+    return f"{workspace}\n{key}" if workspace else key
+
+
 def _refusal_at_arrival(state: node.Node) -> outcome.Reason | None:
     if state.stopping and not state.settings.stop_after_s:
         return Reason.DRAINING
--- a/src/monsoonpass/core/calls/call_messages.py
+++ b/src/monsoonpass/core/calls/call_messages.py
@@ -35,6 +35,8 @@
         traceparent: W3C trace context, or empty.
         idempotent: Whether the call may be sent to an upstream again.
         objective_s: Time left of the response time objective.
+        route_priority: Priority of the route if `priority` is that of a
+            workspace, else None.
     """
 
     call: int
@@ -52,6 +54,7 @@
     traceparent: str
     idempotent: bool = True
     objective_s: float = math.inf
+    route_priority: int | None = codec.appended_field(default=None)
 
 
 @codec.register(101)
--- a/src/monsoonpass/core/calls/outcome.py
+++ b/src/monsoonpass/core/calls/outcome.py
@@ -23,6 +23,7 @@
 
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
     NO_UPSTREAM = "no-upstream"
     OVERLOADED = "overloaded"
     BUSY = "busy"
--- a/src/monsoonpass/core/calls/overload_age.py
+++ b/src/monsoonpass/core/calls/overload_age.py
@@ -9,29 +9,30 @@
 
 import math
 
+Rank = tuple[int, int]  # `OwnerCall.rank`.
 # Without a refusal for this time, an overload is over. It is longer than the
 # pauses between refusals at a small share of calls in excess.
 QUIET_S = 0.5
 
 
 class OverloadAge:
-    """Measures for how long calls of one priority or above were refused."""
+    """Measures for how long calls of one rank or above were refused."""
 
     def __init__(self) -> None:
-        self._since_s: dict[int, float] = {}
-        self._last_s: dict[int, float] = {}
+        self._since_s: dict[Rank, float] = {}
+        self._last_s: dict[Rank, float] = {}
 
-    def record_refusal(self, priority: int, now_s: float) -> float:
+    def record_refusal(self, rank: Rank, now_s: float) -> float:
         """Record the refusal of a call, and return the age of the overload.
 
         Args:
-            priority: Priority of the call.
+            rank: Rank of the call.
             now_s: Time of the event.
 
         Returns:
-            Seconds since calls of this priority began to be refused.
+            Seconds since calls of this rank began to be refused.
         """
-        if now_s - self._last_s.get(priority, -math.inf) > QUIET_S:
-            self._since_s[priority] = now_s
-        self._last_s[priority] = now_s
-        return now_s - self._since_s[priority]
+        if now_s - self._last_s.get(rank, -math.inf) > QUIET_S:
+            self._since_s[rank] = now_s
+        self._last_s[rank] = now_s
+        return now_s - self._since_s[rank]
--- a/src/monsoonpass/core/calls/owner_call.py
+++ b/src/monsoonpass/core/calls/owner_call.py
@@ -38,6 +38,8 @@
         is_probe: Whether the call runs to measure the current service time of
             its route, although the learned one predicts a late answer.
         process_number: Number of the upstream process that runs the call.
+        route_priority: Priority of the route if `priority` is that of a
+            workspace, else None.
     """
 
     owner_call_id: int
@@ -56,6 +58,7 @@
     queued_ahead: int = 0
     is_probe: bool = False
     process_number: int = 0
+    route_priority: int | None = None
 
     @property
     def useful_until_s(self) -> float:
@@ -76,14 +79,25 @@
         return self.objective_deadline_s <= self.arrived_s
 
     @property
-    def queue_key(self) -> tuple[int, bool, float, int]:
+    def rank(self) -> tuple[int, int]:
+        """Urgency of the call, lowest first.
+
+        By priority, and among calls of equal workspace priority by that of the
+        route.
+        """
+        if self.route_priority is None:
+            return (self.priority, self.priority)
+        return (self.priority, self.route_priority)
+
+    @property
+    def queue_key(self) -> tuple[tuple[int, int], bool, float, int]:
         """Sort key of the queue.
 
-        By priority, then calls that can meet their objective before those that
+        By rank, then calls that can meet their objective before those that
         cannot, then the earliest deadline.
         """
         return (
-            self.priority,
+            self.rank,
             self.is_late,
             self.deadline_s,
             self.owner_call_id,
--- a/src/monsoonpass/core/calls/retry_after.py
+++ b/src/monsoonpass/core/calls/retry_after.py
@@ -18,6 +18,7 @@
 FINAL_REASONS = frozenset(
     (
         outcome.Reason.NO_ROUTE,
+        outcome.Reason.UNKNOWN_KEY,
         outcome.Reason.TOO_LARGE,
         outcome.Reason.EMPTY_KEY,
     )
--- a/src/monsoonpass/core/effects.py
+++ b/src/monsoonpass/core/effects.py
@@ -106,6 +106,8 @@
             queue it.
         objective_s: Time left to meet the call's latency objective; infinite if
             there is none.
+        route_priority: Priority of the route if `priority` is that of a
+            workspace, else None.
     """
 
     call_id: int
@@ -119,6 +121,7 @@
     priority: int
     reroutable: bool
     objective_s: float = math.inf
+    route_priority: int | None = None
 
 
 @immutable.dataclass
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -163,6 +163,8 @@
         fingerprint: Digest of the request; only used with a key.
         body_rest_bytes: Declared length of the part of the request body that
             has not arrived yet.
+        workspace: Workspace whose key the request carries, or None.
+        has_unknown_key: Whether the request carries a key of no workspace.
     """
 
     call_id: int
@@ -173,6 +175,8 @@
     key: str | None
     fingerprint: bytes = b""
     body_rest_bytes: int = 0
+    workspace: catalog.Workspace | None = None
+    has_unknown_key: bool = False
 
 
 @immutable.dataclass
@@ -214,6 +218,8 @@
         idempotent: Whether the call may be sent to an upstream again.
         objective_s: Time left to meet the call's latency objective; infinite if
             there is none.
+        route_priority: Priority of the route if `priority` is that of a
+            workspace, else None.
     """
 
     owner_call_id: int
@@ -225,6 +231,7 @@
     reroutable: bool = False
     idempotent: bool = True
     objective_s: float = math.inf
+    route_priority: int | None = None
 
 
 @immutable.dataclass
--- a/src/monsoonpass/formats/bounds.py
+++ b/src/monsoonpass/formats/bounds.py
@@ -10,6 +10,7 @@
 
 INTEGER_MAX = 2**53 - 1  # Every JSON reader keeps these integers exact.
 WEIGHT_MAX = 1e9
+RATE_MAX = 1e9
 TIME_MAX_S = 24 * 3600.0
 NAME_MAX_CHARS = 256
 DECIMAL_DIGITS_MAX = 16  # Digits of `INTEGER_MAX`.
--- a/src/monsoonpass/formats/header_names.py
+++ b/src/monsoonpass/formats/header_names.py
@@ -18,6 +18,11 @@
             call originated.
         proof: Header that every response made by an upstream carries.
         retry_after_decimals: Decimal places of the value of Retry-After.
+        workspace_key: Header with the key of the caller's workspace.
+        workspace_key_scheme: Authentication scheme before the key, not in
+            lower case; empty if the header's value is the key.
+        workspace: Header with the name of the caller's workspace, which only
+            nodes set.
     """
 
     timeout_ms: bytes = b"monsoonpass-timeout-ms"
@@ -27,3 +32,6 @@
     caller_service: bytes = b""
     proof: bytes = b""
     retry_after_decimals: int = 0
+    workspace_key: bytes = b"authorization"
+    workspace_key_scheme: bytes = b"Token"
+    workspace: bytes = b""
--- a/src/monsoonpass/formats/operator_document.py
+++ b/src/monsoonpass/formats/operator_document.py
@@ -1,10 +1,13 @@
 """The operator document: JSON with routes by host, services and limits.
 
 The document is the counterpart of the operator text for programs. Unknown
-fields of routes, services and limits are stored and rendered unchanged.
+fields of routes, services, limits and workspaces are stored and rendered
+unchanged.
 """
 
+import collections
 import json
+import re
 from typing import Annotated
 from typing import Any
 
@@ -17,12 +20,39 @@
 
 DOCUMENT_MAX_BYTES = 4 * 1024 * 1024  # Enough for about ten thousand services.
 ATTEMPTS_MAX = 100
+# A key longer than this leaves little of a request head for anything else.
+KEY_MAX_CHARS = 4096
+_HEADER_VALUE = re.compile(
+    r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
+)
+
+
+def _check_header_value(text: str) -> str:
+    """Check that a request header can carry a text.
+
+    Raises:
+        ValueError: It cannot; the message does not show the text.
+    """
+    if not _HEADER_VALUE.fullmatch(text):
+        raise ValueError(
+            "contains control characters, or begins or ends with a space"
+        )
+    return text
+
 
 _Seconds = Annotated[float, pydantic.Field(gt=0, le=bounds.TIME_MAX_S)]
 _Text = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=512)]
 _Path = Annotated[
     str, pydantic.StringConstraints(pattern=r"^/([^\s?#]*/)?$", max_length=2048)
 ]
+_HeaderText = Annotated[_Text, pydantic.AfterValidator(_check_header_value)]
+_Key = Annotated[
+    str,
+    pydantic.StringConstraints(min_length=1, max_length=KEY_MAX_CHARS),
+    pydantic.AfterValidator(_check_header_value),
+]
+_Priority = Annotated[int, pydantic.Field(ge=0, le=1000)]
+_Rate = Annotated[float, pydantic.Field(ge=0, le=bounds.RATE_MAX)]
 
 
 class _ExtensibleModel(pydantic.BaseModel):
@@ -58,10 +88,11 @@
     kind: host_route.RouteKind
     deadline_s: _Seconds
     objective_s: _Seconds
-    priority: Annotated[int, pydantic.Field(ge=0, le=1000)]
+    priority: _Priority
     attempts_max: Annotated[int, pydantic.Field(ge=1, le=ATTEMPTS_MAX)]
     service: _Text | None = None
     parts: list[PartModel] | None = None
+    public: Annotated[bool, pydantic.Strict()] = False
 
     @pydantic.model_validator(mode="after")
     def _check_services(self) -> "RouteModel":
@@ -90,6 +121,7 @@
                 for part in self.parts or ()
             ),
             extra_json=self.extra_json,
+            public=self.public,
         )
 
 
@@ -135,6 +167,27 @@
         )
 
 
+class WorkspaceModel(_ExtensibleModel):
+    """A workspace with the keys of its callers."""
+
+    name: _HeaderText
+    keys: list[_Key] = []
+    priority: _Priority | None = None
+    rate_per_s: _Rate | None = None
+    burst: _Rate = 0.0
+
+    def to_workspace(self) -> catalog.Workspace:
+        """Return the workspace of the configuration."""
+        return catalog.Workspace(
+            name=self.name,
+            keys=tuple(self.keys),
+            priority=self.priority,
+            rate_per_s=self.rate_per_s,
+            burst=self.burst,
+            extra_json=self.extra_json,
+        )
+
+
 class DocumentModel(pydantic.BaseModel):
     """The whole document."""
 
@@ -144,6 +197,7 @@
     routes: list[RouteModel]
     services: list[ServiceModel]
     limits: LimitsModel
+    workspaces: list[WorkspaceModel] = []
 
 
 def compile_document(data: bytes) -> catalog.Catalog:
@@ -168,6 +222,8 @@
         raise errors.OperatorTextError(issues=issues) from error
     routes = tuple(route.to_route() for route in model.routes)
     _check_unique(routes, [service.name for service in model.services])
+    workspaces = [item.to_workspace() for item in model.workspaces]
+    _check_workspaces(workspaces)
     services = {item.name: item.to_service() for item in model.services}
     try:
         return catalog.Catalog(
@@ -175,6 +231,7 @@
             services=services,
             routes=routes,
             limits=model.limits.to_limits(),
+            workspaces=workspaces,
         )
     except errors.DanglingReferenceError as error:
         raise errors.OperatorTextError(
@@ -184,14 +241,21 @@
 
 def render(current: catalog.Catalog) -> bytes:
     """Return a configuration as an operator document."""
+    has_workspaces = bool(current.workspaces)
     document = {
         "version": current.version,
-        "routes": [_render_route(route) for route in current.routes],
+        "routes": [
+            _render_route(route, has_workspaces) for route in current.routes
+        ],
         "services": [
             _render_service(item) for item in current.services.values()
         ],
         "limits": _render_limits(current.limits),
     }
+    if has_workspaces:
+        document["workspaces"] = [
+            _render_workspace(item) for item in current.workspaces.values()
+        ]
     return json.dumps(document).encode()
 
 
@@ -212,7 +276,32 @@
         raise errors.OperatorTextError(issues=issues)
 
 
-def _render_route(route: host_route.HostRoute) -> dict[str, Any]:
+def _check_workspaces(workspaces: list[catalog.Workspace]) -> None:
+    """Check that names and keys are unique; no message shows a key."""
+    counts = collections.Counter(item.name for item in workspaces)
+    issues = [
+        _issue("workspaces", f"{count} workspaces have the name {name}")
+        for name, count in counts.items()
+        if count > 1
+    ]
+    owners: dict[str, catalog.Workspace] = {}
+    for workspace in workspaces:
+        for key in workspace.keys:
+            owner = owners.setdefault(key, workspace)
+            if owner is not workspace:
+                issues.append(
+                    _issue(
+                        "workspaces",
+                        f"{owner.name} and {workspace.name} share a key",
+                    )
+                )
+    if issues:
+        raise errors.OperatorTextError(issues=issues)
+
+
+def _render_route(
+    route: host_route.HostRoute, has_workspaces: bool
+) -> dict[str, Any]:
     result: dict[str, Any] = {
         "name": route.name,
         "host": route.host,
@@ -230,6 +319,10 @@
         ]
     else:
         result["service"] = route.service
+    # The field has no effect without workspaces, and documents without them
+    # usually omit it.
+    if route.public or has_workspaces:
+        result["public"] = route.public
     return result | _decode_extra(route.extra_json)
 
 
@@ -241,6 +334,19 @@
     } | _decode_extra(service.extra_json)
 
 
+def _render_workspace(workspace: catalog.Workspace) -> dict[str, Any]:
+    rate_per_s = workspace.rate_per_s
+    return {
+        "name": workspace.name,
+        "keys": list(workspace.keys),
+        "priority": workspace.priority,
+        "rate_per_s": None
+        if rate_per_s is None
+        else _compact_number(rate_per_s),
+        "burst": _compact_number(workspace.burst),
+    } | _decode_extra(workspace.extra_json)
+
+
 def _render_limits(limits: host_route.RequestLimits) -> dict[str, Any]:
     return {
         "header_max_bytes": limits.header_max_bytes,
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -54,6 +54,9 @@
             caller_service=headers.caller_service.encode(),
             proof=headers.proof.encode(),
             retry_after_decimals=headers.retry_after_decimals,
+            workspace_key=headers.workspace_key.encode(),
+            workspace_key_scheme=headers.workspace_key_scheme.encode(),
+            workspace=headers.workspace.encode(),
         )
 
     @property
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -16,6 +16,7 @@
 _HeaderName = Annotated[
     str, pydantic.StringConstraints(pattern=r"^[A-Za-z0-9-]*$", to_lower=True)
 ]
+_Scheme = Annotated[str, pydantic.StringConstraints(pattern=r"^[A-Za-z0-9-]*$")]
 _Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 _SECRET_MIN_CHARS = 16
 
@@ -238,6 +239,9 @@
     caller_service: _HeaderName = ""
     proof: _HeaderName = ""
     retry_after_decimals: Annotated[int, pydantic.Field(ge=0, le=3)] = 0
+    workspace_key: _HeaderName = "authorization"
+    workspace_key_scheme: _Scheme = "Token"
+    workspace: _HeaderName = ""
 
 
 class LimitsSection(Section):
--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -239,6 +239,16 @@
         body_start, body_complete = await caller_http.receive_body_start(
             headers, receive
         )
+        # The reducer hears of the call before another task runs, so it decides
+        # under the same configuration.
+        catalog = state.config.catalog
+        workspace, key = None, None
+        if catalog.workspaces:
+            key = caller_http.workspace_key(
+                scope["headers"], self._header_names
+            )
+            if key is not None:
+                workspace = catalog.find_workspace(key)
         traceparent = headers.get(b"traceparent", b"").decode("latin-1")
         return exchange_lib.Exchange(
             call_id=self.next_number(),
@@ -250,11 +260,15 @@
                 self._header_names,
                 own_service,
                 size_bytes=len(body_start) if body_complete else 0,
+                has_workspaces=bool(catalog.workspaces),
+                workspace=workspace.name if workspace else "",
             ),
             body_start=body_start,
             body_complete=body_complete,
             span=self._tracer.start("call", traceparent),
             receive=receive,
+            workspace=workspace,
+            has_unknown_key=key is not None and workspace is None,
         )
 
     def _report_arrival(
@@ -279,6 +293,8 @@
             key=key,
             fingerprint=fingerprint,
             body_rest_bytes=caller_http.body_rest_bytes(headers, exchange),
+            workspace=exchange.workspace,
+            has_unknown_key=exchange.has_unknown_key,
         )
 
     def _register_local_call(self, exchange: exchange_lib.Exchange) -> None:
@@ -318,6 +334,8 @@
         if part.caller_gone:
             return "caller-gone"
         if part.failure is not None:
+            if part.failure.outcome is outcome.Outcome.NOT_RUN:
+                self._metrics.refusals.labels(str(part.failure.reason)).inc()
             await self._send_failure(part.failure, send)
             return str(part.failure.outcome)
         await send(
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -35,6 +35,7 @@
 )
 STATUS_BY_REASON = {
     outcome.Reason.NO_ROUTE: 404,
+    outcome.Reason.UNKNOWN_KEY: 401,
     outcome.Reason.TOO_LARGE: 413,
     outcome.Reason.EMPTY_KEY: 400,
     outcome.Reason.DUPLICATE_KEY: 409,
@@ -144,6 +145,8 @@
     own_service: str,
     *,
     size_bytes: int = 0,
+    has_workspaces: bool = False,
+    workspace: str = "",
 ) -> messages.Headers:
     """Return the request headers to send to the upstream.
 
@@ -152,26 +155,62 @@
         header_names: Names of the headers that only nodes may set.
         own_service: Service of this instance, whose processes are the callers.
         size_bytes: Length of the body if it is complete, else 0.
+        has_workspaces: Whether callers present keys of workspaces.
+        workspace: Name of the caller's workspace, or empty.
 
     Returns:
         The end-to-end headers. Headers that only nodes may set are removed,
-        and the caller's service is set to `own_service`.
+        and the caller's service is set to `own_service`. The header for keys
+        is removed if callers present keys, whatever it contains, since a
+        mistyped key is a secret, too.
     """
     reserved = {
         header_names.timeout_ms,
         header_names.upstream_id,
         header_names.caller_service,
+        header_names.workspace,
     }
+    if has_workspaces:
+        reserved.add(header_names.workspace_key)
     forwarded = tuple(
         item for item in end_to_end_headers(headers) if item[0] not in reserved
     )
     if size_bytes and all(item[0] != b"content-length" for item in forwarded):
         forwarded = (*forwarded, (b"content-length", str(size_bytes).encode()))
+    if workspace and header_names.workspace:
+        forwarded = (*forwarded, (header_names.workspace, workspace.encode()))
     if not header_names.caller_service:
         return forwarded
     return (*forwarded, (header_names.caller_service, own_service.encode()))
 
 
+def workspace_key(
+    headers: Any, header_names: header_names_lib.HeaderNames
+) -> bytes | None:
+    """Return the key that a request carries.
+
+    Args:
+        headers: The caller's headers.
+        header_names: Name and authentication scheme of the header with the key.
+
+    Returns:
+        The key; None without the header or with another scheme; empty, which
+        is the key of no workspace, if the header stands more than once.
+    """
+    values = [
+        value for name, value in headers if name == header_names.workspace_key
+    ]
+    if not values:
+        return None
+    if len(values) > 1:
+        return b""
+    expected = header_names.workspace_key_scheme
+    if not expected:
+        return values[0]
+    scheme, _, key = values[0].partition(b" ")
+    return key.strip() if scheme.lower() == expected.lower() else None
+
+
 def answer_headers(part: exchange_lib.AnswerPart) -> list[tuple[bytes, bytes]]:
     """Return the answer headers to send to the caller."""
     headers = list(end_to_end_headers(part.headers))
@@ -232,6 +271,10 @@
         (b"monsoonpass-outcome", str(failure.outcome).encode()),
         (b"monsoonpass-reason", str(failure.reason).encode()),
     ]
+    if failure.reason is outcome.Reason.UNKNOWN_KEY:
+        scheme = header_names.workspace_key_scheme
+        if scheme:
+            headers.append((b"www-authenticate", scheme))
     if failure.retry_after_s is not None:
         decimals = header_names.retry_after_decimals
         unit_s = 10.0**-decimals
--- a/src/monsoonpass/runtime/exchange.py
+++ b/src/monsoonpass/runtime/exchange.py
@@ -10,6 +10,7 @@
 from monsoonpass import immutable
 from monsoonpass.core.calls import call_messages as messages
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.distribution import catalog
 from monsoonpass.runtime import tracing
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -53,6 +54,8 @@
             the request cannot be sent again then.
         span: Trace span of the call at this node.
         receive: Receives more of the request (ASGI).
+        workspace: Workspace whose key the request carries, or None.
+        has_unknown_key: Whether the request carries a key of no workspace.
         answer_started: Whether a part of the answer was queued.
         answer_finished: Whether the complete answer or a failure was queued.
         idempotency_key: Idempotency key, or empty.
@@ -72,6 +75,8 @@
         body_complete: bool,
         span: tracing.Span,
         receive: Receive,
+        workspace: catalog.Workspace | None = None,
+        has_unknown_key: bool = False,
     ):
         self.call_id = call_id
         self.host = host
@@ -83,6 +88,8 @@
         self.body_consumed = False
         self.span = span
         self.receive = receive
+        self.workspace = workspace
+        self.has_unknown_key = has_unknown_key
         self.answer_started = False
         self.answer_finished = False
         self.idempotency_key = ""
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -32,6 +32,7 @@
         registry: The registry that /metrics renders.
         calls: Finished calls by outcome: "answered", or the outcome of a
             failure.
+        refusals: Calls answered with the outcome "not-run", by reason.
         call_duration: Time from the arrival of a call to the end of its
             answer.
         calls_in_progress: Calls in progress through this node.
@@ -59,6 +60,12 @@
             ["outcome"],
             registry=registry,
         )
+        self.refusals = prometheus_client.Counter(
+            "monsoonpass_refusals",
+            "Calls that were refused and have not run, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.call_duration = prometheus_client.Histogram(
             "monsoonpass_call_duration_seconds",
             "Time from a call's arrival to its whole answer.",
--- a/src/monsoonpass/runtime/peer_calls.py
+++ b/src/monsoonpass/runtime/peer_calls.py
@@ -332,4 +332,5 @@
             reroutable=message.reroutable,
             idempotent=message.idempotent,
             objective_s=message.objective_s,
+            route_priority=message.route_priority,
         )
--- a/src/monsoonpass/runtime/remote_attempts.py
+++ b/src/monsoonpass/runtime/remote_attempts.py
@@ -194,6 +194,7 @@
             traceparent=exchange.span.traceparent,
             idempotent=effect.idempotent,
             objective_s=effect.objective_s,
+            route_priority=effect.route_priority,
         )
         attempt.bind_link(self._mesh.send_to_peer(effect.to, message))
 
--- a/src/monsoonpass/standin/simulated_upstream.py
+++ b/src/monsoonpass/standin/simulated_upstream.py
@@ -78,6 +78,7 @@
         finished: Number of calls with a complete response.
         cancelled: Number of calls cancelled while they waited or ran.
         in_progress_max: Maximum number of running and queued calls.
+        last_headers: Headers of the last request.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.finished = 0
         self.cancelled = 0
         self.in_progress_max = 0
+        self.last_headers: list[tuple[bytes, bytes]] = []
         self._in_progress = 0
         self._slots = anyio.Semaphore(self.behaviour.slots)
         self._started_s = 0.0
@@ -133,6 +135,7 @@
         request = await _next_event(stream, connection)
         if not isinstance(request, h11.Request):
             return False
+        self.last_headers = list(request.headers)
         digest = hashlib.sha256()
         size_bytes = 0
         while True:
--- a/tests/fake_calls.py
+++ b/tests/fake_calls.py
@@ -135,6 +135,7 @@
             route=effect.route,
             reroutable=effect.reroutable,
             objective_s=effect.objective_s,
+            route_priority=effect.route_priority,
         )
 
     def _link_lost(self, target: "CallNode", effect: effects.Forward) -> None:
@@ -315,9 +316,15 @@
         path: str = "/lots",
         key: str = "",
         timeout_s: float | None = None,
+        host: str = "shop",
+        workspace_key: bytes | None = None,
     ) -> CallRecord:
         """Send a call to a node and return its record."""
         node = self.nodes[name]
+        catalog = node.state.config.catalog
+        workspace = None
+        if catalog.workspaces and workspace_key is not None:
+            workspace = catalog.find_workspace(workspace_key)
         record = CallRecord(
             number=self.next_number(),
             entry=name,
@@ -330,12 +337,16 @@
         node.feed(
             events.CallArrived,
             call_id=record.number,
-            host="shop",
+            host=host,
             method="GET" if record.idempotent else "POST",
             path=path,
             timeout_s=timeout_s,
             key=key or None,
             fingerprint=b"f",
+            workspace=workspace,
+            has_unknown_key=bool(catalog.workspaces)
+            and workspace_key is not None
+            and workspace is None,
         )
         return record
 
--- a/tests/test_operator_document.py
+++ b/tests/test_operator_document.py
@@ -55,6 +55,27 @@
     return {**document, **changes}
 
 
+def make_workspaces():
+    """Return two valid workspaces, in the order of their names."""
+    return [
+        {
+            "name": "alpha",
+            "keys": ["key-0", "key-1"],
+            "priority": 0,
+            "rate_per_s": 12.5,
+            "burst": 20,
+            "contact": {"kept": ["as it is"]},
+        },
+        {
+            "name": "beta",
+            "keys": ["key-b"],
+            "priority": None,
+            "rate_per_s": None,
+            "burst": 0,
+        },
+    ]
+
+
 def compile_json(document):
     return operator_document.compile_document(json.dumps(document).encode())
 
@@ -135,3 +156,103 @@
         for size in range(0, len(data), 97):
             with pytest.raises(errors.OperatorTextError):
                 operator_document.compile_document(data[:size])
+
+
+class TestWorkspaces:
+    """Workspaces of the document, and the faults for which it is refused."""
+
+    def test_rendered_document_equals_the_submitted_one(self):
+        """Guards against a field that is lost on its way to the operator.
+
+        Guard: `_render_workspace`, and `public` in `_render_route`.
+        """
+        document = make_document(workspaces=make_workspaces())
+        document["routes"][0]["public"] = True
+        document["routes"][1]["public"] = False
+        catalog = compile_json(document)
+        assert json.loads(operator_document.render(catalog)) == document
+        assert catalog.routes[0].public
+        assert not catalog.routes[1].public
+
+    def test_missing_fields_have_defaults(self):
+        """Guards against a limit or a fault where the document sets none."""
+        workspaces = [{"name": "a"}]
+        workspace = compile_json(
+            make_document(workspaces=workspaces)
+        ).workspaces["a"]
+        assert workspace.keys == ()
+        assert workspace.priority is None
+        assert not workspace.rate_per_s
+        assert workspace.burst == 0
+
+    def test_empty_list_equals_no_list(self):
+        catalog = compile_json(make_document(workspaces=[]))
+        assert catalog.digest == compile_json(make_document()).digest
+        assert json.loads(operator_document.render(catalog)) == make_document()
+
+    def test_workspace_may_repeat_its_own_key(self):
+        workspaces = [{"name": "a", "keys": ["k", "k"]}]
+        catalog = compile_json(make_document(workspaces=workspaces))
+        assert catalog.find_workspace(b"k").name == "a"
+
+    @pytest.mark.parametrize(
+        ("change", "location"),
+        [
+            ({"keys": ["key-b"]}, "workspaces"),
+            ({"keys": ["key-0", "key-b"]}, "workspaces"),
+            ({"name": "beta"}, "workspaces"),
+            ({"name": ""}, "workspaces.0.name"),
+            ({"name": None}, "workspaces.0.name"),
+            ({"name": "a\r\nx-forged: 1"}, "workspaces.0.name"),
+            ({"name": "a "}, "workspaces.0.name"),
+            ({"keys": [""]}, "workspaces.0.keys.0"),
+            ({"keys": ["key-0", " "]}, "workspaces.0.keys.1"),
+            ({"keys": ["key\n0"]}, "workspaces.0.keys.0"),
+            ({"keys": [7]}, "workspaces.0.keys.0"),
+            ({"keys": None}, "workspaces.0.keys"),
+            ({"keys": "key-0"}, "workspaces.0.keys"),
+            ({"priority": -1}, "workspaces.0.priority"),
+            ({"priority": 1.5}, "workspaces.0.priority"),
+            ({"priority": "high"}, "workspaces.0.priority"),
+            ({"rate_per_s": -1}, "workspaces.0.rate_per_s"),
+            ({"rate_per_s": "fast"}, "workspaces.0.rate_per_s"),
+            ({"burst": -1}, "workspaces.0.burst"),
+            ({"burst": None}, "workspaces.0.burst"),
+        ],
+    )
+    def test_invalid_workspace_is_refused_without_showing_a_key(
+        self, change, location
+    ):
+        """Guards against keys that two workspaces share, and forged headers.
+
+        Guard: `_check_workspaces` and `_check_header_value`.
+        """
+        document = make_document(workspaces=make_workspaces())
+        document["workspaces"][0].update(change)
+        with pytest.raises(errors.OperatorTextError) as error_info:
+            compile_json(document)
+        issues = error_info.value.issues
+        assert {issue.location for issue in issues} == {location}
+        for key in ("key-0", "key-b"):
+            assert key not in str(error_info.value)
+
+    @pytest.mark.parametrize("workspaces", [{}, "a", [1], [{"keys": []}], None])
+    def test_workspaces_of_another_type_are_refused(self, workspaces):
+        with pytest.raises(errors.OperatorTextError):
+            compile_json(make_document(workspaces=workspaces))
+
+    @pytest.mark.parametrize("public", ["yes", 1, None])
+    def test_route_that_is_unclearly_public_is_refused(self, public):
+        """Guard: `pydantic.Strict` of `public` in RouteModel."""
+        document = make_document()
+        document["routes"][0]["public"] = public
+        with pytest.raises(errors.OperatorTextError):
+            compile_json(document)
+
+    def test_name_that_cannot_be_encoded_is_refused(self):
+        """Guards against a lone surrogate, which no header can carry."""
+        data = json.dumps(
+            make_document(workspaces=[{"name": "\ud800", "keys": []}])
+        ).encode()
+        with pytest.raises(errors.OperatorTextError):
+            operator_document.compile_document(data)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from monsoonpass.formats import header_names
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.runtime import caller_http
+from tests import test_operator_document
 from tests import test_own_upstream
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -91,6 +92,10 @@
         assert {seed.address.port for seed in core.seeds} == {7000}
         assert len(settings.listen.operators) == 3
         assert settings.limits.link_mbit_s == 3.5
+        names = settings.header_names
+        assert names.workspace == b"x-tenant"
+        assert names.workspace_key == b"authorization"
+        assert names.workspace_key_scheme == b"Token"
 
     def test_missing_link_bandwidth_is_0_for_unknown(self):
         settings = settings_lib.parse(render({**FIELDS, "limits": None}))
@@ -161,6 +166,23 @@
             if "platform" not in path.parts:
                 assert not platform_names.search(path.read_text()), path
 
+    def test_platform_names_map_to_fields_of_a_workspace(self):
+        """Guards against keys that are stored as an unknown field."""
+        fields = tomllib.loads((DEPLOY / "wire.toml").read_text())["fields"]
+        platform_document = {
+            "tenants": [{"name": "a", "apiKeys": ["k"], "ratePerS": 5}]
+        }
+        text = json.dumps(platform_document)
+        for platform_name, name in fields.items():
+            text = text.replace(f'"{platform_name}"', f'"{name}"')
+        document = test_operator_document.make_document(**json.loads(text))
+        workspace = test_operator_document.compile_json(document).workspaces[
+            "a"
+        ]
+        assert workspace.keys == ("k",)
+        assert workspace.rate_per_s == 5
+        assert not workspace.extra_json
+
 
 class TestHeaders:
     def test_headers_of_the_node_replace_those_of_the_caller(self):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,6 +9,7 @@
 import pytest
 
 from monsoonpass.standin import local_mesh
+from tests import test_operator_document
 
 POLLS_MAX = 400
 POLL_INTERVAL_S = 0.05
@@ -105,6 +106,36 @@
         assert fleet.submit(fleet.nodes[0], config_text(2)) == "accepted"
         wait_for_version(fleet, 2)
 
+    def test_workspace_keys_survive_kill_of_all_nodes(self, fleet):
+        """Guards against valid keys that are refused after a power loss.
+
+        A call with a known key gets as far as the missing upstream.
+        Guard: `workspaces` in catalog.Snapshot and Delta.
+        """
+
+        def reason(node, key):
+            headers = {"host": "shop.example", "authorization": f"Token {key}"}
+            answer = fleet.http.get(f"{node.caller_url}/lots/", headers=headers)
+            return answer.headers["monsoonpass-reason"]
+
+        for version, keys in ((2, ["old"]), (3, ["new"])):
+            document = test_operator_document.make_document(
+                version=version, workspaces=[{"name": "a", "keys": keys}]
+            )
+            answer = fleet.http.put(
+                f"{fleet.nodes[0].operator_url}/v1/config", json=document
+            )
+            assert answer.status_code == 200
+        wait_for_version(fleet, 3)
+        for node in fleet.nodes:
+            fleet.kill(node)
+        for node in fleet.nodes:
+            fleet.start(node)
+        wait_for_version(fleet, 3)
+        for node in fleet.nodes:
+            assert reason(node, "old") == "unknown-key"
+            assert reason(node, "new") == "no-upstream"
+
     def test_voter_with_lost_disk_rejoins(self, fleet, tmp_path):
         lost_node = fleet.nodes[1]
         fleet.kill(lost_node)
