--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -159,45 +159,46 @@
     """Return a function that converts an instance to a list of fields."""
     names = [field.name for field in dataclasses.fields(cls)]
     readers = _field_readers(cls)
-    pack: Callable[[Any], list[Any]]
+    if _appended_fields(cls):
+        return _packer_without_defaults(cls, names, any(readers))
     if not any(readers):
+        return lambda message: [getattr(message, name) for name in names]
 
-        def pack(message: Any) -> list[Any]:
-            return [getattr(message, name) for name in names]
+    def pack(message: Any) -> list[Any]:
+        return [_to_plain(getattr(message, name)) for name in names]
 
-    else:
+    return pack
 
-        def pack(message: Any) -> list[Any]:
-            return [_to_plain(getattr(message, name)) for name in names]
 
-    defaults = _appended_defaults(cls)
-    return _omit_defaults(pack, defaults) if defaults else pack
-
-
-def _appended_defaults(cls: type) -> list[Any]:
-    """Return the encoded defaults of the appended fields that end a class."""
-    defaults: list[Any] = []
-    for field in reversed(dataclasses.fields(cls)):
-        if not field.metadata.get(_IS_APPENDED):
-            break
-        defaults.insert(0, _to_plain(field.default))
-    return defaults
-
-
-def _omit_defaults(
-    pack: Callable[[Any], list[Any]], defaults: list[Any]
+def _packer_without_defaults(
+    cls: type, names: list[str], has_data_classes: bool
 ) -> Callable[[Any], list[Any]]:
     """Return a packer that leaves out appended fields with their defaults."""
+    last_first = _appended_fields(cls)
+    prefixes = [names[:count] for count in range(len(names) + 1)]
 
-    def pack_without_defaults(message: Any) -> list[Any]:
-        values = pack(message)
-        for default in reversed(defaults):
-            if values[-1] != default:
+    def pack(message: Any) -> list[Any]:
+        count = len(names)
+        for name, default in last_first:
+            if getattr(message, name) != default:
                 break
-            del values[-1]
+            count -= 1
+        values = [getattr(message, name) for name in prefixes[count]]
+        if has_data_classes:
+            return [_to_plain(value) for value in values]
         return values
 
-    return pack_without_defaults
+    return pack
+
+
+def _appended_fields(cls: type) -> list[tuple[str, Any]]:
+    """Return names and defaults of the appended fields, the last one first."""
+    result: list[tuple[str, Any]] = []
+    for field in reversed(dataclasses.fields(cls)):
+        if not field.metadata.get(_IS_APPENDED):
+            break
+        result.append((field.name, field.default))
+    return result
 
 
 def _to_plain(value: Any) -> Any:
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -44,8 +44,8 @@
     def test_configuration_without_workspaces_is_encoded_as_before(self):
         """Guards against a digest that nodes of an earlier build refuse.
 
-        Guard: `_omit_defaults` in codec._field_packer, and `workspace_marker`
-        in catalog._content_digest.
+        Guard: `codec._packer_without_defaults`, and `workspace_marker` in
+        catalog._content_digest.
         """
         document = test_operator_document.make_document()
         old = test_operator_document.compile_json(document)
@@ -63,7 +63,7 @@
     def test_call_without_workspace_is_encoded_as_before(self):
         """Guards against a field that each call would pay for.
 
-        Guard: `_omit_defaults` in codec._field_packer.
+        Guard: `codec._packer_without_defaults`.
         """
         message = call_messages.CallOpen(
             call=7,
