--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -19,6 +19,7 @@
 from monsoonpass import errors
 
 DIGEST_BYTES = 16  # Makes collisions negligible for any number of records.
+_IS_APPENDED = "monsoonpass_is_appended"
 
 _tags: dict[type, int] = {}
 _types: dict[int, type] = {}
@@ -49,6 +50,22 @@
     return decorate
 
 
+def appended_field(*, default: Any, repr: bool = True) -> Any:
+    """Return a field that is appended to a class that builds already encode.
+
+    Such fields come last. They are left out of the encoding as long as they and
+    all fields after them have their defaults, so the encoding and the digest of
+    a value that does not use them are those of earlier builds.
+
+    Args:
+        default: Value of the field if the encoding does not contain it.
+        repr: Whether the field is part of the class's representation.
+    """
+    return dataclasses.field(
+        default=default, repr=repr, metadata={_IS_APPENDED: True}
+    )
+
+
 def encode(message: Any) -> bytes:
     """Encode a registered message.
 
@@ -118,7 +135,18 @@
     try:
         return _type_adapter(cls).validate_python(_name_fields(cls, fields))
     except pydantic.ValidationError as error:
-        raise errors.FrameDecodeError(f"{cls.__name__}: {error}") from error
+        raise errors.FrameDecodeError(
+            f"{cls.__name__}: {_describe(error)}"
+        ) from None
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Describe the first fault without its value, which may be a secret."""
+    fault = error.errors(
+        include_url=False, include_context=False, include_input=False
+    )[0]
+    location = ".".join(str(part) for part in fault["loc"])
+    return f"{location}: {fault['msg']}"
 
 
 @functools.cache
@@ -131,6 +159,8 @@
     """Return a function that converts an instance to a list of fields."""
     names = [field.name for field in dataclasses.fields(cls)]
     readers = _field_readers(cls)
+    if _appended_fields(cls):
+        return _packer_without_defaults(cls, names, any(readers))
     if not any(readers):
         return lambda message: [getattr(message, name) for name in names]
 
@@ -140,6 +170,37 @@
     return pack
 
 
+def _packer_without_defaults(
+    cls: type, names: list[str], has_data_classes: bool
+) -> Callable[[Any], list[Any]]:
+    """Return a packer that leaves out appended fields with their defaults."""
+    last_first = _appended_fields(cls)
+    prefixes = [names[:count] for count in range(len(names) + 1)]
+
+    def pack(message: Any) -> list[Any]:
+        count = len(names)
+        for name, default in last_first:
+            if getattr(message, name) != default:
+                break
+            count -= 1
+        values = [getattr(message, name) for name in prefixes[count]]
+        if has_data_classes:
+            return [_to_plain(value) for value in values]
+        return values
+
+    return pack
+
+
+def _appended_fields(cls: type) -> list[tuple[str, Any]]:
+    """Return names and defaults of the appended fields, the last one first."""
+    result: list[tuple[str, Any]] = []
+    for field in reversed(dataclasses.fields(cls)):
+        if not field.metadata.get(_IS_APPENDED):
+            break
+        result.append((field.name, field.default))
+    return result
+
+
 def _to_plain(value: Any) -> Any:
     if dataclasses.is_dataclass(value):
         return _field_packer(type(value))(value)
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -49,6 +49,9 @@
             upstream.
         body_rest_bytes: Length of the part of the request body that had not
             arrived with the call.
+        workspace: Name of the caller's workspace, or empty.
+        workspace_priority: Priority of the workspace, or None if the route's
+            applies.
     """
 
     call_id: int
@@ -66,6 +69,22 @@
     hedged: bool = False
     upstreams_reached: int = 0
     body_rest_bytes: int = 0
+    workspace: str = ""
+    workspace_priority: int | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace if it has one, else of the route."""
+        if self.workspace_priority is None:
+            return self.route.priority
+        return self.workspace_priority
+
+    @property
+    def route_priority(self) -> int | None:
+        """Priority of the route if `priority` is the workspace's, else None."""
+        if self.workspace_priority is None:
+            return None
+        return self.route.priority
 
     @property
     def may_try_another_upstream(self) -> bool:
