--- a/benchmarks/cpu_profile.py
+++ b/benchmarks/cpu_profile.py
@@ -1,5 +1,8 @@
 """Where processor time goes: a call at each end, an idle second, a start.
 
+Nodes serve callers over HTTP/1.1, as in a deployment. Calls are made one after
+another: on one kept connection, on a new connection each, and as uploads.
+
 Processor times come from daemons without a profiler; the shares of libraries
 and modules from daemons under cProfile, which slows Python functions down more
 than built-in ones.
@@ -20,6 +23,11 @@
 SHOWN_COUNT = 12  # Libraries and modules shown for each role.
 START_COMMAND = "from monsoonpass import start; start.import_daemon()"
 IDLE_S = 5.0
+ANSWER_BYTES = 3000
+UPLOAD_BYTES = 60_000
+# Processor time is counted in ticks of 10 ms. The best of several runs is the
+# one least disturbed by other processes.
+CALL_RUNS = 3
 
 
 def run(options: dict[str, str], folder: pathlib.Path) -> dict[str, object]:
@@ -28,15 +36,29 @@
     result: dict[str, object] = {
         "start": _measure_start(int(options["starts"]))
     }
-    with fleet_lib.run_pair(folder / "plain", hop.OPERATOR_TEXT) as pair:
+    with fleet_lib.run_pair(
+        folder / "plain", hop.OPERATOR_TEXT, http2=False
+    ) as pair:
+        nodes = {"entry": pair.entry, "owner": pair.owner}
+        result["memory_kb_at_start"] = _peak_memory_kb(pair)
         result["idle_ms_a_second"] = _measure_idle(pair)
-        result["ms_a_call"] = _measure_calls(pair, calls)
+        for kind, count in (
+            ("kept", calls),
+            ("new", calls // 3),
+            ("upload", calls // 3),
+        ):
+            _make_calls(pair, kind, count // 10)
+            runs = [_measure_calls(pair, kind, count) for _ in range(CALL_RUNS)]
+            result[f"ms_a_call_{kind}"] = {
+                name: min(run[name] for run in runs) for name in nodes
+            }
+        result["memory_kb_after_calls"] = _peak_memory_kb(pair)
     profiles = folder / "profiles"
     profiles.mkdir()
     with fleet_lib.run_pair(
-        folder / "profiled", hop.OPERATOR_TEXT, profiles
+        folder / "profiled", hop.OPERATOR_TEXT, profiles, http2=False
     ) as pair:
-        _make_calls(pair, calls)
+        _make_calls(pair, "kept", calls)
         pair.fleet.terminate(pair.entry)
         pair.fleet.terminate(pair.owner)
     for role in ("entry", "owner"):
@@ -44,22 +66,50 @@
     return result
 
 
-def _make_calls(pair: fleet_lib.Pair, count: int) -> None:
-    anyio.run(hop.make_calls, pair.entry.caller_port, "shop", count, 0.0)
+def _make_calls(pair: fleet_lib.Pair, kind: str, count: int) -> None:
+    anyio.run(_make_calls_of, kind, pair.entry.caller_port, count)
+
+
+async def _make_calls_of(kind: str, port: int, count: int) -> None:
+    """Make calls in sequence: "kept", "new" (connections) or "upload"."""
+    target = f"/lots?ms=0&bytes={ANSWER_BYTES}"
+    if kind == "kept":
+        await hop.make_calls(port, "shop", count, 0.0, target=target)
+    elif kind == "new":
+        for _ in range(count):
+            await hop.make_calls(port, "shop", 1, 0.0, target=target)
+    else:
+        await hop.make_calls(
+            port,
+            "shop",
+            count,
+            0.0,
+            method="POST",
+            target=target,
+            body=bytes(UPLOAD_BYTES),
+        )
 
 
-def _measure_calls(pair: fleet_lib.Pair, count: int) -> dict[str, float]:
+def _measure_calls(
+    pair: fleet_lib.Pair, kind: str, count: int
+) -> dict[str, float]:
     """Return the processor time of a call at each node, in ms."""
-    _make_calls(pair, count // 10)
     nodes = {"entry": pair.entry, "owner": pair.owner}
     before = {name: pair.fleet.cpu_s(node) for name, node in nodes.items()}
-    _make_calls(pair, count)
+    _make_calls(pair, kind, count)
     return {
         name: round((pair.fleet.cpu_s(node) - before[name]) * 1000 / count, 3)
         for name, node in nodes.items()
     }
 
 
+def _peak_memory_kb(pair: fleet_lib.Pair) -> dict[str, int]:
+    return {
+        node.name: pair.fleet.peak_memory_bytes(node) // 1024
+        for node in (pair.entry, pair.owner)
+    }
+
+
 def _measure_idle(pair: fleet_lib.Pair) -> float:
     """Return the processor time of an idle node in ms a second."""
     before_s = pair.fleet.cpu_s(pair.entry)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -43,6 +43,7 @@
         captures_output: bool = False,
         sources: Mapping[str, pathlib.Path] | None = None,
         profile_folder: pathlib.Path | None = None,
+        http2: bool = True,
     ):
         """Prepare the settings; the daemons start when the context is entered.
 
@@ -56,6 +57,7 @@
             sources: Source folders of instances that run another build;
                 the others run this checkout.
             profile_folder: Folder for the daemons' profiles, or None.
+            http2: Whether callers may use HTTP/2, as by default.
         """
         self.profile_folder = profile_folder
         self._output = (
@@ -66,6 +68,7 @@
             voters=voters,
             folder=folder,
             extra_settings=extra_settings,
+            http2=http2,
         )
         self._folder = folder
         self.nodes = self._mesh.nodes
@@ -154,6 +157,14 @@
         ).read_text()
         return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    def peak_memory_bytes(self, node: local_mesh.LocalNode) -> int:
+        """Return the highest resident memory of a daemon so far, in bytes."""
+        text = pathlib.Path(
+            f"/proc/{self.processes[node.name].pid}/status"
+        ).read_text()
+        line = next(x for x in text.splitlines() if x.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
     def sum_metric(self, node: local_mesh.LocalNode, name: str) -> float:
         """Return the sum of the samples of a node's metric.
 
@@ -251,6 +262,8 @@
     folder: pathlib.Path,
     text: str,
     profile_folder: pathlib.Path | None = None,
+    *,
+    http2: bool = True,
 ) -> Iterator[Pair]:
     """Run an entry node and an owner node with an operator text in force.
 
@@ -258,6 +271,7 @@
         folder: Folder for settings files and data.
         text: Operator text with a service named "shop".
         profile_folder: Folder for the daemons' profiles, or None.
+        http2: Whether callers may use HTTP/2, as by default.
 
     Yields:
         The pair, ready for calls.
@@ -273,6 +287,7 @@
             voters=["owner"],
             folder=folder,
             profile_folder=profile_folder,
+            http2=http2,
         ) as fleet,
     ):
         entry, owner = fleet.nodes
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -28,6 +28,8 @@
     *,
     method: str = "GET",
     key_prefix: str = "",
+    target: str = "/lots?ms=0",
+    body: bytes = b"",
 ) -> list[float]:
     """Make calls in sequence on one keep-alive connection.
 
@@ -39,6 +41,8 @@
         method: HTTP method.
         key_prefix: Prefix of the idempotency keys; empty for calls without
             keys.
+        target: Path and query.
+        body: Body of each request.
 
     Returns:
         The latency of each call, in seconds.
@@ -50,11 +54,13 @@
         headers = [("host", host)]
         if key_prefix:
             headers.append(("idempotency-key", f"{key_prefix}-{number}"))
+        if body:
+            headers.append(("content-length", str(len(body))))
         started_s = time.perf_counter()
-        request = h11.Request(
-            method=method, target="/lots?ms=0", headers=headers
-        )
+        request = h11.Request(method=method, target=target, headers=headers)
         data = connection.send(request)
+        if body:
+            data += connection.send(h11.Data(data=body))
         data += connection.send(h11.EndOfMessage())
         await stream.send(data)
         while True:
