--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 import msgpack
-import pydantic
 
 from monsoonpass import errors
+from monsoonpass import message_functions
 
 DIGEST_BYTES = 16  # Makes collisions negligible for any number of records.
 
@@ -59,7 +59,7 @@
         The encoding, a msgpack array.
     """
     cls = type(message)
-    return msgpack.packb([_tags[cls], *_field_packer(cls)(message)])
+    return msgpack.packb([_tags[cls], *message_functions.packer(cls)(message)])
 
 
 def decode(data: bytes) -> Any:
@@ -101,7 +101,7 @@
     Returns:
         Bytes that are equal if and only if the values are equal.
     """
-    return msgpack.packb(_field_packer(type(value))(value))
+    return msgpack.packb(message_functions.packer(type(value))(value))
 
 
 def digest(value: Any) -> bytes:
@@ -115,6 +115,12 @@
 
 
 def _validate(cls: type, fields: tuple[Any, ...]) -> Any:
+    try:
+        return message_functions.reader(cls)(fields)
+    except message_functions.InexactFieldsError:
+        pass
+    import pydantic
+
     try:
         return _type_adapter(cls).validate_python(_name_fields(cls, fields))
     except pydantic.ValidationError as error:
@@ -122,30 +128,10 @@
 
 
 @functools.cache
-def _type_adapter(cls: type) -> pydantic.TypeAdapter:
-    return pydantic.TypeAdapter(cls)
+def _type_adapter(cls: type) -> Any:
+    import pydantic
 
-
-@functools.cache
-def _field_packer(cls: type) -> Callable[[Any], list[Any]]:
-    """Return a function that converts an instance to a list of fields."""
-    names = [field.name for field in dataclasses.fields(cls)]
-    readers = _field_readers(cls)
-    if not any(readers):
-        return lambda message: [getattr(message, name) for name in names]
-
-    def pack(message: Any) -> list[Any]:
-        return [_to_plain(getattr(message, name)) for name in names]
-
-    return pack
-
-
-def _to_plain(value: Any) -> Any:
-    if dataclasses.is_dataclass(value):
-        return _field_packer(type(value))(value)
-    if isinstance(value, tuple):
-        return [_to_plain(item) for item in value]
-    return value
+    return pydantic.TypeAdapter(cls)
 
 
 def _name_fields(cls: type, fields: Any) -> dict[str, Any]:
