--- a/src/monsoonpass/runtime/link.py
+++ b/src/monsoonpass/runtime/link.py
@@ -4,18 +4,19 @@
 one opened by each. Both ends send and receive on every link.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
 import secrets
 from typing import Any
 
 import anyio
-import anyio.abc
 
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 from monsoonpass.formats import framing
 from monsoonpass.formats import handshake
+from monsoonpass.runtime import streams
 
 HANDSHAKE_TIMEOUT_S = 3.0
 HANDSHAKE_FRAME_MAX_BYTES = 2048  # Until the handshake ends.
@@ -29,12 +30,30 @@
     """The send queue of a link exceeds `SEND_QUEUE_MAX_BYTES`."""
 
 
+class _SoonCall:
+    """Calls a function once in the next pass of the event loop after `set`."""
+
+    def __init__(self, function: Callable[[], None]):
+        self._function = function
+        self._is_set = False
+
+    def set(self) -> None:
+        if not self._is_set:
+            self._is_set = True
+            asyncio.get_running_loop().call_soon(self._call)
+
+    def _call(self) -> None:
+        self._is_set = False
+        self._function()
+
+
 class Link:
     """A stream to a peer after the handshake.
 
     Frames that are not bulk are sent before bulk frames. Bulk frames are sent
     one at a time in the order in which they were queued, so that a large body
-    does not delay short messages or the bodies of other calls.
+    does not delay short messages or the bodies of other calls. Frames queued
+    in one pass of the event loop are written together in the next one.
 
     Attributes:
         peer: The peer, with the address at which it listens.
@@ -46,7 +65,7 @@
     def __init__(
         self,
         *,
-        stream: anyio.abc.ByteStream,
+        stream: streams.Stream,
         peer: address_lib.Address,
         data_centre: str,
         incarnation: int,
@@ -67,7 +86,7 @@
         self._urgent_frames: collections.deque[bytes] = collections.deque()
         self._bulk_frames: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
-        self._frames_queued = anyio.Event()
+        self._frames_queued = _SoonCall(self._write_queued)
         self.closed = False
 
     def send(self, message: Any, *, bulk: bool = False) -> None:
@@ -86,8 +105,7 @@
         data = framing.pack(message)
         self._queued_bytes += len(data)
         if self._queued_bytes > SEND_QUEUE_MAX_BYTES:
-            self.closed = True
-            self._frames_queued.set()
+            self._close()
             raise LinkQueueFullError(
                 f"send queue to {self.peer.instance} is full"
             )
@@ -104,24 +122,21 @@
         Raises:
             ProtocolError: The peer violated the protocol.
         """
-        violation: errors.ProtocolError | None = None
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._write_until_closed, group.cancel_scope)
-            try:
-                await self._read_until_closed(receive)
-            except errors.ProtocolError as error:
-                # Raised after the group, which would wrap it in another error.
-                violation = error
-            finally:
-                self.closed = True
-                group.cancel_scope.cancel()
-        if violation is not None:
-            raise violation
+        # Frames that were queued before the stream is served.
+        self._frames_queued.set()
+        self._stream.on_writable = self._write_queued
+        try:
+            await self._read_until_closed(receive)
+        finally:
+            self.closed = True
 
     async def abort(self) -> None:
         """Close the stream without flushing the send queue."""
+        self._close()
+
+    def _close(self) -> None:
         self.closed = True
-        await anyio.aclose_forcefully(self._stream)
+        self._stream.abort()
 
     async def _read_until_closed(self, receive: Callable[[Any], None]) -> None:
         data = b""
@@ -148,22 +163,20 @@
         for description in sorted(new_skips):
             self._report_skipped(description)
 
-    async def _write_until_closed(self, scope: anyio.CancelScope) -> None:
-        while not self.closed:
+    def _write_queued(self) -> None:
+        """Write queued frames while the socket takes them."""
+        while not self.closed and self._stream.is_writable:
+            is_bulk = not self._urgent_frames
             data = self._next_frames()
             if not data:
-                self._frames_queued = anyio.Event()
-                await self._frames_queued.wait()
-                continue
+                return
             self._queued_bytes -= len(data)
             self._count_bytes("sent", len(data))
-            try:
-                await self._stream.send(data)
-            except (anyio.BrokenResourceError, OSError):
-                break
-            except anyio.ClosedResourceError:
-                break
-        scope.cancel()
+            self._stream.write(data)
+            if is_bulk and self._bulk_frames:
+                # Urgent frames may be queued before the next bulk frame.
+                self._frames_queued.set()
+                return
 
     def _next_frames(self) -> bytes:
         """Return the next frames to send, or nothing if none is queued.
@@ -184,7 +197,7 @@
 
 
 async def perform_handshake(
-    stream: anyio.abc.ByteStream,
+    stream: streams.Stream,
     *,
     mesh: str,
     secret: bytes,
@@ -252,7 +265,7 @@
 
 
 async def _next_message(
-    stream: anyio.abc.ByteStream, reader: framing.FrameReader
+    stream: streams.Stream, reader: framing.FrameReader
 ) -> Any:
     while (message := reader.pop()) is None:
         reader.push(await stream.receive(HANDSHAKE_FRAME_MAX_BYTES))
--- a/src/monsoonpass/runtime/mesh.py
+++ b/src/monsoonpass/runtime/mesh.py
@@ -23,6 +23,7 @@
 from monsoonpass.runtime import link as link_lib
 from monsoonpass.runtime import metrics as metrics_lib
 from monsoonpass.runtime import peer_traffic
+from monsoonpass.runtime import streams
 
 CONNECT_TIMEOUT_S = 2.0
 WAITING_MESSAGES_MAX = 256
@@ -119,7 +120,10 @@
             self._task_group = group
             group.start_soon(self._receive_datagrams)
             group.start_soon(self._send_datagrams)
-            await self._listener.serve(self._accept, group)
+            await streams.serve(
+                self._listener.extra(anyio.abc.SocketAttribute.raw_socket),
+                lambda stream: group.start_soon(self._accept, stream),
+            )
 
     def send_to_peer(
         self, to: address_lib.Address, message: Any, *, bulk: bool = False
@@ -191,14 +195,14 @@
         stream = None
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(to.host, to.port)
+                stream = await streams.connect(to.host, to.port)
             _set_socket_options(stream)
             peer_hello, reader = await self._perform_handshake(
                 stream, to.instance
             )
         except (OSError, TimeoutError, errors.MonsoonpassError):
             if stream is not None:
-                await anyio.aclose_forcefully(stream)
+                stream.abort()
             # Delay before `LinkLost` is fed, so that the reducer's retries do
             # not dial a peer that is down in a tight loop.
             await anyio.sleep(random.uniform(0, RECONNECT_JITTER_S))
@@ -213,14 +217,14 @@
             return
         await self._run_link(stream, peer_hello, reader)
 
-    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
+    async def _accept(self, stream: streams.Stream) -> None:
         too_many_handshakes = self._pending_handshakes >= PENDING_HANDSHAKES_MAX
         link_count = sum(len(links) for links in self.links.values())
         if (
             too_many_handshakes
             or link_count >= self._settings.limits.peer_links
         ):
-            await anyio.aclose_forcefully(stream)
+            stream.abort()
             return
         self._pending_handshakes += 1
         try:
@@ -231,14 +235,14 @@
                 self._logger.write(
                     log_events.Code.PEER_REFUSED, peer="", error=str(error)
                 )
-            await anyio.aclose_forcefully(stream)
+            stream.abort()
             return
         finally:
             self._pending_handshakes -= 1
         await self._run_link(stream, peer_hello, reader)
 
     async def _perform_handshake(
-        self, stream: anyio.abc.SocketStream, expected_instance: str
+        self, stream: streams.Stream, expected_instance: str
     ) -> tuple[handshake.Hello, Any]:
         return await link_lib.perform_handshake(
             stream,
@@ -252,7 +256,7 @@
 
     async def _run_link(
         self,
-        stream: anyio.abc.SocketStream,
+        stream: streams.Stream,
         peer_hello: handshake.Hello,
         reader: Any,
     ) -> None:
@@ -399,9 +403,9 @@
                 )
 
 
-def _set_socket_options(stream: anyio.abc.SocketStream) -> None:
+def _set_socket_options(stream: streams.Stream) -> None:
     """Set the TCP options of a link's socket."""
-    sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    sock = stream.raw_socket
     # Bounds the unsent bytes in the kernel, where urgent frames cannot overtake
     # bulk ones.
     sock.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, NOTSENT_LOWAT_BYTES)
--- a/src/monsoonpass/runtime/upstream_http.py
+++ b/src/monsoonpass/runtime/upstream_http.py
@@ -1,16 +1,16 @@
-"""Pooled HTTP/1.1 connections to the local upstream, built on h11 and anyio."""
+"""Pooled HTTP/1.1 connections to the local upstream, built on h11."""
 
 from collections.abc import AsyncIterator
 import re
 import select
 
 import anyio
-import anyio.abc
 import h11
 
 from monsoonpass import errors
 from monsoonpass import immutable
 from monsoonpass.runtime import parse_throttle
+from monsoonpass.runtime import streams
 
 CONNECT_TIMEOUT_S = 0.5  # The upstream is on the same instance.
 # Common HTTP servers close idle connections after five seconds.
@@ -53,7 +53,7 @@
             it was sent.
     """
 
-    def __init__(self, *, stream: anyio.abc.SocketStream, process_number: int):
+    def __init__(self, *, stream: streams.Stream, process_number: int):
         self.process_number = process_number
         self._stream = stream
         self._must_close = False
@@ -66,9 +66,10 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES
         )
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._poll = select.poll()
-        self._poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
+        self._poll.register(
+            stream.raw_socket.fileno(), select.POLLIN | select.POLLRDHUP
+        )
         self.idle_since_s = 0.0
         self.request_body_bytes = 0
 
@@ -84,7 +85,8 @@
     @property
     def is_stale(self) -> bool:
         """Whether the upstream closed the connection or sent excess data."""
-        return bool(self._poll.poll(0))
+        # After the connection is lost, its descriptor may be another's.
+        return self._stream.has_input or bool(self._poll.poll(0))
 
     async def send_head(
         self,
@@ -280,7 +282,7 @@
 
     async def aclose(self) -> None:
         """Close the connection without waiting for the upstream."""
-        await anyio.aclose_forcefully(self._stream)
+        self._stream.abort()
 
     def _parse(self) -> object:
         self._throttle.count_event()
@@ -432,7 +434,7 @@
         process_number = self.process_number
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(self.host, self.port)
+                stream = await streams.connect(self.host, self.port)
         except (OSError, TimeoutError) as error:
             raise errors.UpstreamConnectError(str(error)) from error
         return Connection(stream=stream, process_number=process_number)
