--- a/src/monsoonpass/codec.py
+++ b/src/monsoonpass/codec.py
@@ -14,12 +14,11 @@
 from typing import Any
 
 import msgpack
-import pydantic
 
 from monsoonpass import errors
+from monsoonpass import message_functions
 
 DIGEST_BYTES = 16  # Makes collisions negligible for any number of records.
-_IS_APPENDED = "monsoonpass_is_appended"
 
 _tags: dict[type, int] = {}
 _types: dict[int, type] = {}
@@ -62,7 +61,9 @@
         repr: Whether the field is part of the class's representation.
     """
     return dataclasses.field(
-        default=default, repr=repr, metadata={_IS_APPENDED: True}
+        default=default,
+        repr=repr,
+        metadata={message_functions.IS_APPENDED: True},
     )
 
 
@@ -76,7 +77,7 @@
         The encoding, a msgpack array.
     """
     cls = type(message)
-    return msgpack.packb([_tags[cls], *_field_packer(cls)(message)])
+    return msgpack.packb([_tags[cls], *message_functions.packer(cls)(message)])
 
 
 def decode(data: bytes) -> Any:
@@ -118,7 +119,7 @@
     Returns:
         Bytes that are equal if and only if the values are equal.
     """
-    return msgpack.packb(_field_packer(type(value))(value))
+    return msgpack.packb(message_functions.packer(type(value))(value))
 
 
 def digest(value: Any) -> bytes:
@@ -132,6 +133,12 @@
 
 
 def _validate(cls: type, fields: tuple[Any, ...]) -> Any:
+    try:
+        return message_functions.reader(cls)(fields)
+    except message_functions.InexactFieldsError:
+        pass
+    import pydantic
+
     try:
         return _type_adapter(cls).validate_python(_name_fields(cls, fields))
     except pydantic.ValidationError as error:
@@ -140,7 +147,7 @@
         ) from None
 
 
-def _describe(error: pydantic.ValidationError) -> str:
+def _describe(error: Any) -> str:
     """Describe the first fault without its value, which may be a secret."""
     fault = error.errors(
         include_url=False, include_context=False, include_input=False
@@ -150,63 +157,10 @@
 
 
 @functools.cache
-def _type_adapter(cls: type) -> pydantic.TypeAdapter:
-    return pydantic.TypeAdapter(cls)
-
+def _type_adapter(cls: type) -> Any:
+    import pydantic
 
-@functools.cache
-def _field_packer(cls: type) -> Callable[[Any], list[Any]]:
-    """Return a function that converts an instance to a list of fields."""
-    names = [field.name for field in dataclasses.fields(cls)]
-    readers = _field_readers(cls)
-    if _appended_fields(cls):
-        return _packer_without_defaults(cls, names, any(readers))
-    if not any(readers):
-        return lambda message: [getattr(message, name) for name in names]
-
-    def pack(message: Any) -> list[Any]:
-        return [_to_plain(getattr(message, name)) for name in names]
-
-    return pack
-
-
-def _packer_without_defaults(
-    cls: type, names: list[str], has_data_classes: bool
-) -> Callable[[Any], list[Any]]:
-    """Return a packer that leaves out appended fields with their defaults."""
-    last_first = _appended_fields(cls)
-    prefixes = [names[:count] for count in range(len(names) + 1)]
-
-    def pack(message: Any) -> list[Any]:
-        count = len(names)
-        for name, default in last_first:
-            if getattr(message, name) != default:
-                break
-            count -= 1
-        values = [getattr(message, name) for name in prefixes[count]]
-        if has_data_classes:
-            return [_to_plain(value) for value in values]
-        return values
-
-    return pack
-
-
-def _appended_fields(cls: type) -> list[tuple[str, Any]]:
-    """Return names and defaults of the appended fields, the last one first."""
-    result: list[tuple[str, Any]] = []
-    for field in reversed(dataclasses.fields(cls)):
-        if not field.metadata.get(_IS_APPENDED):
-            break
-        result.append((field.name, field.default))
-    return result
-
-
-def _to_plain(value: Any) -> Any:
-    if dataclasses.is_dataclass(value):
-        return _field_packer(type(value))(value)
-    if isinstance(value, tuple):
-        return [_to_plain(item) for item in value]
-    return value
+    return pydantic.TypeAdapter(cls)
 
 
 def _name_fields(cls: type, fields: Any) -> dict[str, Any]:
