--- a/src/monsoonpass/formats/operator_document.py
+++ b/src/monsoonpass/formats/operator_document.py
@@ -26,7 +26,7 @@
 
 
 class _ExtensibleModel(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="allow")
+    model_config = pydantic.ConfigDict(extra="allow", defer_build=True)
 
     @property
     def extra_json(self) -> str:
@@ -138,7 +138,7 @@
 class DocumentModel(pydantic.BaseModel):
     """The whole document."""
 
-    model_config = pydantic.ConfigDict(extra="ignore")
+    model_config = pydantic.ConfigDict(extra="ignore", defer_build=True)
 
     version: Annotated[bounds.PositiveInteger, pydantic.Strict()]
     routes: list[RouteModel]
--- a/src/monsoonpass/formats/operator_models.py
+++ b/src/monsoonpass/formats/operator_models.py
@@ -15,7 +15,7 @@
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid")
+    model_config = pydantic.ConfigDict(extra="forbid", defer_build=True)
 
 
 class Announcement(_Model):
@@ -45,7 +45,9 @@
         born: Its start time, in milliseconds of Unix time, or None.
     """
 
-    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+    model_config = pydantic.ConfigDict(
+        extra="ignore", strict=True, defer_build=True
+    )
 
     service: bounds.Name
     address: bounds.Name
@@ -89,7 +91,9 @@
 class Deregistration(pydantic.BaseModel):
     """An upstream's deregistration, with its start time if it sends one."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+    model_config = pydantic.ConfigDict(
+        extra="ignore", strict=True, defer_build=True
+    )
 
     born: bounds.PositiveInteger | None = None
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,5 +1,7 @@
 """Imports and garbage collection at the start of the daemon."""
 
+import hashlib
+import hmac
 import subprocess
 import sys
 
@@ -32,3 +34,36 @@
             check=True,
         )
         return done.stdout.splitlines()
+
+
+TLS_SCRIPT = """
+import sys
+from monsoonpass import start
+start.import_daemon()
+print([m for m in ("ssl", "_ssl", "_hashlib") if m in sys.modules])
+import hashlib, hmac
+print(hmac.new(b"k", b"m", hashlib.sha256).hexdigest())
+print(hashlib.blake2b(b"m", digest_size=8).hexdigest())
+import hypercorn.asyncio, ssl
+print(ssl.create_default_context().check_hostname)
+"""
+
+
+class TestWithoutOpenssl:
+    def test_openssl_is_loaded_only_by_a_later_import(self):
+        """Every process would hold 4.5 MB more, or none could use TLS.
+
+        Guard: `_without_openssl` in start.import_daemon.
+        """
+        done = subprocess.run(
+            [sys.executable, "-c", TLS_SCRIPT],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        modules, proof, digest, checks_hostname = done.stdout.splitlines()
+        assert modules == "[]"
+        assert proof == hmac.new(b"k", b"m", hashlib.sha256).hexdigest()
+        assert digest == hashlib.blake2b(b"m", digest_size=8).hexdigest()
+        assert checks_hostname == "True"
