--- a/src/monsoonpass/core/agreement/consensus_records.py
+++ b/src/monsoonpass/core/agreement/consensus_records.py
@@ -131,13 +131,24 @@
 @codec.register(31)
 @immutable.dataclass
 class VoteReply:
-    """Reply to a `VoteRequest`."""
+    """Reply to a `VoteRequest`.
+
+    Attributes:
+        group: Group id.
+        term: Term of the voter.
+        voter: Replica id of the voter.
+        granted: Whether the vote is granted.
+        pre_vote: Whether this answers a pre-vote.
+        contact_age_s: Time for which the voter has certainly not acknowledged
+            a message of another leader; 0 if it does not tell.
+    """
 
     group: int
     term: int
     voter: int
     granted: bool
     pre_vote: bool
+    contact_age_s: float = codec.appended_field(default=0.0)
 
 
 @codec.register(32)
--- a/src/monsoonpass/core/agreement/control_group.py
+++ b/src/monsoonpass/core/agreement/control_group.py
@@ -26,6 +26,7 @@
 from monsoonpass.core.distribution import version_distribution
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import notice_storage
+from monsoonpass.core.quotas import authority as quota_authority
 
 MAINTENANCE_INTERVAL_S = 0.5
 
@@ -80,6 +81,7 @@
     replica = state.control.replica
     if replica is None:
         return []
+    quota_authority.observe(state)
     result: list[effects.Effect] = []
     for notice in replica.take_notices():
         if isinstance(notice, replica_lib.Applied):
--- a/src/monsoonpass/core/agreement/election.py
+++ b/src/monsoonpass/core/agreement/election.py
@@ -103,9 +103,18 @@
     if message.term != replica.term or not may_vote or not up_to_date:
         return [*result, _reply(replica, sender, granted=False, pre_vote=False)]
     replica.voted_for = message.candidate
+    contact_age_s = 0.0
+    if replica.reports_contact:
+        contact_age_s = max(now_s - replica.last_contact_s, 0.0)
     replica.leader_contact_s = now_s
     result.append(replica.write_hard_state())
-    reply = _reply(replica, sender, granted=True, pre_vote=False)
+    reply = _reply(
+        replica,
+        sender,
+        granted=True,
+        pre_vote=False,
+        contact_age_s=contact_age_s,
+    )
     return result + replica.disk.after_sync([reply])
 
 
@@ -130,6 +139,10 @@
         or message.term != replica.term
     ):
         return []
+    if not message.pre_vote:
+        replica.predecessor_contact_s = max(
+            replica.predecessor_contact_s, now_s - message.contact_age_s
+        )
     replica.votes.add(message.voter)
     return _count_votes(
         replica, pre_vote=message.pre_vote, now_s=now_s, random_bits=random_bits
@@ -152,6 +165,7 @@
         replica.votes.add(replica.replica_id)
     else:
         replica.role = replica_lib.Role.CANDIDATE
+        replica.predecessor_contact_s = replica.last_contact_s
         replica.term += 1
         replica.voted_for = replica.replica_id
         write = replica.write_hard_state()
@@ -198,6 +212,7 @@
     *,
     granted: bool,
     pre_vote: bool,
+    contact_age_s: float = 0.0,
 ) -> effects.Send:
     reply = records.VoteReply(
         group=replica.identity.group,
@@ -205,5 +220,6 @@
         voter=replica.replica_id,
         granted=granted,
         pre_vote=pre_vote,
+        contact_age_s=contact_age_s,
     )
     return effects.Send(to=to, message=reply)
--- a/src/monsoonpass/core/agreement/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -156,6 +156,10 @@
             elections nor leads.
         copies_min: Number of disks that must hold a command before it is
             committed.
+        predecessor_contact_s: At a leader or candidate, the latest time at
+            which a voter that elected it may have acknowledged a message of an
+            earlier leader.
+        reports_contact: Whether votes tell the time since the last contact.
     """
 
     identity: records.Identity
@@ -192,6 +196,8 @@
     notices: list[Any] = dataclasses.field(default_factory=list)
     disk_failed: bool = False
     copies_min: int = 1
+    predecessor_contact_s: float = float("-inf")
+    reports_contact: bool = False
 
     @property
     def replica_id(self) -> int:
@@ -214,6 +220,14 @@
             if member.replica_id != self.replica_id
         ]
 
+    @property
+    def last_contact_s(self) -> float:
+        """Latest time at which this replica may have acknowledged a leader.
+
+        A process that has started does not know the contacts of the one before.
+        """
+        return max(self.leader_contact_s, self.started_s)
+
     @property
     def is_leader(self) -> bool:
         """Whether this replica has the role of leader."""
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -323,6 +323,8 @@
     """End a call with its final failure and settle its idempotency key."""
     call = state.calls.pop(call_id, None)
     failure = retry_after.with_retry_after(failure, event.random_bits)
+    if call is not None and failure.outcome is call_lib.NOT_RUN:
+        return_token(state, event, call)
     cancels = cancel_timers(call) if call else []
     return [
         *cancels,
@@ -337,6 +339,15 @@
     ]
 
 
+def return_token(
+    state: node.Node, event: events.Event, call: call_lib.Call
+) -> None:
+    """Return the token of a call that has not run and never will."""
+    if call.holds_token:
+        call.holds_token = False
+        state.quotas.holder.give_back(call.workspace, event.now_s)
+
+
 def _failure_context(
     state: node.Node, event: events.Event, call: call_lib.Call
 ) -> dict[str, object]:
--- a/src/monsoonpass/core/calls/call.py
+++ b/src/monsoonpass/core/calls/call.py
@@ -52,6 +52,7 @@
         workspace: Name of the caller's workspace, or empty.
         workspace_priority: Priority of the workspace, or None if the route's
             applies.
+        holds_token: Whether the call took a token of its workspace.
     """
 
     call_id: int
@@ -71,6 +72,7 @@
     body_rest_bytes: int = 0
     workspace: str = ""
     workspace_priority: int | None = None
+    holds_token: bool = False
 
     @property
     def may_try_another_upstream(self) -> bool:
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -23,6 +23,8 @@
 from monsoonpass.core.keys import ledger
 from monsoonpass.core.membership import directory
 from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.quotas import quota_handlers
+from monsoonpass.core.quotas import quota_messages
 
 Reason = outcome.Reason
 
@@ -69,28 +71,95 @@
         refusal = call_lib.not_run_failure(Reason.DRAINING, None)
         return attempts.fail_call(state, event, event.call_id, refusal)
     state.calls[event.call_id] = call
+    keyed = (event.key, event.fingerprint)
+    decision, quota_effects = quota_handlers.Decision.ADMITTED, []
+    if call.workspace:
+        decision, quota_effects = quota_handlers.acquire(
+            state, event, call, keyed
+        )
+    if decision is quota_handlers.Decision.REFUSED:
+        retry_after_s = state.quotas.holder.retry_after_s(
+            call.workspace, event.now_s
+        )
+        failure = call_lib.not_run_failure(Reason.OVER_QUOTA, retry_after_s)
+        return attempts.fail_call(state, event, event.call_id, failure)
     retry_budget.for_service(state, service).deposit()
     timer = timers.CallDeadline(call_id=event.call_id)
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=timeout_s),
         *directory.refresh_endpoints(state, event, service),
+        *quota_effects,
     ]
-    if event.key is None or route.idempotent:
-        return result + _start_call(state, event, call)
-    if not 0 < len(event.key) <= ledger.KEY_MAX_CHARS:
-        reason = Reason.TOO_LARGE if event.key else Reason.EMPTY_KEY
+    if decision is quota_handlers.Decision.WAITING:
+        return result
+    return result + _claim_or_start(state, event, call, *keyed)
+
+
+def _claim_or_start(
+    state: node.Node,
+    event: events.Event,
+    call: call_lib.Call,
+    key: str | None,
+    fingerprint: bytes,
+) -> list[effects.Effect]:
+    """Claim a call's idempotency key if necessary, else start the call."""
+    if key is None or call.route.idempotent:
+        return _start_call(state, event, call)
+    if not 0 < len(key) <= ledger.KEY_MAX_CHARS:
+        reason = Reason.TOO_LARGE if key else Reason.EMPTY_KEY
         failure = call_lib.not_run_failure(reason, None)
-        return result + attempts.fail_call(state, event, event.call_id, failure)
-    return result + keyed_calls.claim(
+        return attempts.fail_call(state, event, call.call_id, failure)
+    return keyed_calls.claim(
         state,
         event,
-        call_id=event.call_id,
-        service=service,
-        key=event.key,
-        fingerprint=event.fingerprint,
+        call_id=call.call_id,
+        service=call.service,
+        key=key,
+        fingerprint=fingerprint,
     )
 
 
+@step.handle_message.register
+def _(
+    message: quota_messages.TokenReply,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    result = quota_handlers.handle_reply(state, event, message)
+    return result + _serve_waiting_for_tokens(state, event)
+
+
+@step.handle_timer.register
+def _(
+    timer: timers.QuotaDue, event: events.TimerFired, state: node.Node
+) -> list[effects.Effect]:
+    state.quotas.timer_due_s = float("inf")
+    return _serve_waiting_for_tokens(state, event)
+
+
+def _serve_waiting_for_tokens(
+    state: node.Node, event: events.Event
+) -> list[effects.Effect]:
+    """Start or refuse calls that waited for tokens, and ask for more."""
+    decided, result = quota_handlers.serve_waiting(state, event)
+    for item in decided:
+        call = state.calls.get(item.waiter.call_id)
+        if call is None:
+            # The caller has disconnected, or the deadline has passed.
+            if item.admitted:
+                state.quotas.holder.give_back(item.workspace, event.now_s)
+        elif item.admitted:
+            call.holds_token = True
+            key, fingerprint = item.waiter.context
+            result += _claim_or_start(state, event, call, key, fingerprint)
+        else:
+            failure = call_lib.not_run_failure(
+                Reason.OVER_QUOTA, item.retry_after_s
+            )
+            result += attempts.fail_call(state, event, call.call_id, failure)
+    return result + quota_handlers.pump(state, event)
+
+
 def _start_call(
     state: node.Node, event: events.Event, call: call_lib.Call
 ) -> list[effects.Effect]:
@@ -204,6 +273,7 @@
     if record is None or call_id not in state.calls:
         return attempts.fail_call(state, event, call_id, denied.failure)
     call = state.calls.pop(call_id)
+    attempts.return_token(state, event, call)
     return [
         *attempts.cancel_timers(call),
         effects.ReplayAnswer(
@@ -284,6 +354,8 @@
     if call is None:
         return []
     call.may_have_run = call.may_have_run or bool(call.attempts)
+    if not call.may_have_run:
+        attempts.return_token(state, event, call)
     failure = call_lib.not_run_failure(Reason.CANCELLED, None)
     return [
         *attempts.cancel_others(state, event, call, 0),
--- a/src/monsoonpass/core/calls/outcome.py
+++ b/src/monsoonpass/core/calls/outcome.py
@@ -38,6 +38,7 @@
     EMPTY_KEY = "empty-key"
     DUPLICATE_KEY = "duplicate-key"
     LEDGER_UNAVAILABLE = "ledger-unavailable"
+    OVER_QUOTA = "over-quota"
 
 
 @immutable.dataclass
--- a/src/monsoonpass/core/calls/retry_after.py
+++ b/src/monsoonpass/core/calls/retry_after.py
@@ -45,6 +45,10 @@
         return dataclasses.replace(failure, retry_after_s=RETRY_AFTER_MIN_S)
     if failure.reason in FINAL_REASONS:
         return failure
+    if failure.reason is outcome.Reason.OVER_QUOTA:
+        # These times are spread already, at the rate of the workspace.
+        retry_after_s = max(failure.retry_after_s or 0.0, RETRY_AFTER_MIN_S)
+        return dataclasses.replace(failure, retry_after_s=retry_after_s)
     if failure.retry_after_s is None:
         return dataclasses.replace(
             failure, retry_after_s=FAILOVER_RETRY_AFTER_S
--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -114,6 +114,22 @@
     )
     CALL_FAILED = (510, "warning", "A call was answered with a failure.")
 
+    QUOTA_ALLOCATOR_STARTED = (
+        520,
+        "info",
+        "This leader started to allocate the tokens of limited workspaces.",
+    )
+    QUOTA_OWN_SHARE_USED = (
+        521,
+        "warning",
+        "No allocator answers; this node admits calls from its own share.",
+    )
+    QUOTA_CONTACT_RESTORED = (
+        522,
+        "info",
+        "An allocator answers again; the own share is no longer used.",
+    )
+
     def __init__(self, number: int, level: str, meaning: str):
         self.number = number
         self.level = level
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -16,6 +16,8 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import member_table
 from monsoonpass.core.membership import own_upstream_state as upstream_lib
+from monsoonpass.core.quotas import limits as limits_lib
+from monsoonpass.core.quotas import quota_state as quota_state_lib
 
 
 @immutable.dataclass
@@ -61,6 +63,8 @@
             nodes.
         silence_s: Silence after which an announced upstream is withdrawn;
             0 for upstreams that announce themselves only once.
+        quota_wait_s: Longest wait of a call for a token of its workspace.
+        quota_slack: How far workspaces may exceed their limits.
     """
 
     address: address_lib.Address
@@ -81,6 +85,8 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     silence_s: float = 0.0
+    quota_wait_s: float = 2.0
+    quota_slack: limits_lib.Slack = limits_lib.Slack()
 
     def covers(self, data_centre: str) -> bool:
         """Return whether the member table includes a data centre."""
@@ -370,6 +376,7 @@
         calls: Calls in progress through this node, by call id.
         keyed_calls: Claims of calls with an idempotency key, by call id.
         abandoned_claims: Claims whose calls ended without running, by call id.
+        quotas: Tokens of limited workspaces.
         surveys: Status surveys in progress, by number.
         survey_number: Number of the last survey.
         started_s: When the process started.
@@ -400,6 +407,9 @@
     calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     keyed_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     abandoned_claims: dict[int, Any] = dataclasses.field(default_factory=dict)
+    quotas: quota_state_lib.QuotaState = dataclasses.field(
+        default_factory=quota_state_lib.QuotaState
+    )
     surveys: dict[int, Any] = dataclasses.field(default_factory=dict)
     survey_number: int = 0
     started_s: float = 0.0
--- /dev/null
+++ b/src/monsoonpass/core/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces: tokens, their allocator and their holders."""
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -25,6 +25,7 @@
 from monsoonpass.core.membership import membership
 from monsoonpass.core.membership import own_upstream
 from monsoonpass.core.membership import sync_request
+from monsoonpass.core.quotas import quota_handlers
 
 assert _call_handlers  # Imported for its registrations.
 assert _survey  # Imported for its registrations.
@@ -45,6 +46,7 @@
     # process of this node do not match.
     state.survey_number = event.wall_ms
     state.admission.queue_limit = state.settings.queue_limit
+    quota_handlers.start(state, event)
     version_distribution.recover(state, event)
     return [
         *membership.start(state, event),
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -162,6 +162,11 @@
     """The upstream is due to be shown as draining during a planned stop."""
 
 
+@immutable.dataclass
+class QuotaDue(Timer):
+    """A request for tokens is due, or a call has waited for one too long."""
+
+
 @immutable.dataclass
 class UpstreamSilenceTimeout(Timer):
     """The own upstream may have been silent for too long."""
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -9,6 +9,7 @@
 from monsoonpass import errors
 from monsoonpass.core import address as address_lib
 from monsoonpass.core import node
+from monsoonpass.core.quotas import limits
 from monsoonpass.formats import header_names
 from monsoonpass.formats import settings_sections as sections
 
@@ -30,6 +31,7 @@
     telemetry: sections.TelemetrySection = sections.TelemetrySection()
     retries: sections.RetriesSection = sections.RetriesSection()
     headers: sections.HeadersSection = sections.HeadersSection()
+    quotas: sections.QuotasSection = sections.QuotasSection()
 
     @property
     def drain_limit_s(self) -> float:
@@ -106,6 +108,10 @@
             retry_ratio=self.retries.ratio,
             retry_slack=self.retries.slack,
             silence_s=self.upstream.silence_s,
+            quota_wait_s=self.quotas.wait_s,
+            quota_slack=limits.Slack(
+                ratio=self.quotas.slack_ratio, tokens=self.quotas.slack_tokens
+            ),
         )
 
 
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -225,6 +225,20 @@
     slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 20.0
 
 
+class QuotasSection(Section):
+    """[quotas]: limits of workspaces; the same on all nodes.
+
+    Attributes:
+        wait_s: Longest wait of a call for a token of its workspace.
+        slack_ratio: Part of the limit of 5 s by which it may be exceeded.
+        slack_tokens: Requests by which it may be exceeded in addition.
+    """
+
+    wait_s: Annotated[float, pydantic.Field(ge=0, le=60)] = 2.0
+    slack_ratio: Annotated[float, pydantic.Field(ge=0, le=10)] = 0.1
+    slack_tokens: Annotated[float, pydantic.Field(ge=2, le=1e6)] = 20.0
+
+
 class HeadersSection(Section):
     """[headers]: names of the HTTP headers; see `HeaderNames`.
 
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -38,6 +38,7 @@
     outcome.Reason.TOO_LARGE: 413,
     outcome.Reason.EMPTY_KEY: 400,
     outcome.Reason.DUPLICATE_KEY: 409,
+    outcome.Reason.OVER_QUOTA: 429,
 }
 DEADLINE_STATUS = 504
 STATUS_BY_OUTCOME = {
