--- a/src/monsoonpass/core/quotas/allocator.py
+++ b/src/monsoonpass/core/quotas/allocator.py
@@ -88,8 +88,9 @@
         minted_to: Value of `Allocator.minted_s` up to which they are minted.
         granted: Tokens that nodes may hold.
         issued: Tokens minted since the allocator's start.
-        handed_over: Tokens of the predecessor that nodes handed over.
-        spent_before: Tokens that these nodes spent in the window before.
+        handed_over: Tokens of the predecessor that nodes handed over, and
+            tokens that they spent in the window before.
+        held_before: Tokens that these nodes held for the predecessor.
         spent: Tokens spent within the window, as far as known.
         demand: Calls that arrived at all nodes.
     """
@@ -99,7 +100,7 @@
     granted: int = 0
     issued: float = 0.0
     handed_over: int = 0
-    spent_before: int = 0
+    held_before: int = 0
     spent: spent_window.SpentWindow = dataclasses.field(
         default_factory=spent_window.SpentWindow
     )
@@ -125,29 +126,31 @@
         *,
         session: int,
         start_s: float,
-        has_predecessor: bool,
+        predecessor_end_s: float | None,
     ):
         """Make an allocator.
 
         Args:
             session: The term.
-            start_s: Time from which no allocator of an earlier term is active.
-            has_predecessor: Whether there may have been one.
+            start_s: Time from which this allocator is active.
+            predecessor_end_s: Time, not after `start_s`, from which no
+                allocator of an earlier term is active; None if there never was
+                one.
         """
         self.session = session
         self.minted_s = 0.0
         self._updated_s = start_s
-        self._start_s = start_s
+        self._predecessor_end_s = predecessor_end_s
         # Times from which no tokens, no spendings within the window and no
         # shares are left that a predecessor knew of.
         self._tokens_known_s = start_s
         self._window_known_s = start_s
         self._shares_known_s = start_s
-        if has_predecessor:
-            margin_s = limits_lib.CLOCK_MARGIN_S
-            self._tokens_known_s += limits_lib.LOAN_S + margin_s
+        if predecessor_end_s is not None:
+            end_s = predecessor_end_s + limits_lib.CLOCK_MARGIN_S
+            self._tokens_known_s = end_s + limits_lib.LOAN_S
             self._window_known_s = self._tokens_known_s + limits_lib.WINDOW_S
-            self._shares_known_s += limits_lib.SHARE_VALIDITY_S + margin_s
+            self._shares_known_s = end_s + limits_lib.SHARE_VALIDITY_S
         self._nodes: dict[str, NodeRecord] = {}
         self._buckets: dict[str, Bucket] = {}
         self._limits: Mapping[str, Limit] = {}
@@ -372,7 +375,7 @@
         """Return how many tokens may exist now."""
         held_max = limit.held_max * self.fraction
         if now_s < self._tokens_known_s:
-            return min(held_max, bucket.handed_over)
+            return min(held_max, bucket.held_before)
         return held_max
 
     def _room(self, bucket: Bucket, limit: Limit, now_s: float) -> float:
@@ -381,14 +384,14 @@
         used = existing + bucket.spent.count(now_s)
         room = limit.window_max * self.fraction - used
         if now_s < self._window_known_s:
-            room = min(room, bucket.handed_over + bucket.spent_before - used)
+            room = min(room, bucket.handed_over - used)
             pause_s = limits_lib.HELD_EXTRA_S
             minting_s = min(
-                now_s - self._start_s - pause_s, limits_lib.WINDOW_S - pause_s
+                now_s - self._predecessor_end_s - pause_s,
+                limits_lib.WINDOW_S - pause_s,
             )
             at_rate = limit.rate_per_s * self.fraction * minting_s
-            at_rate -= bucket.issued + bucket.spent_before
-            room = max(room, at_rate)
+            room = max(room, at_rate - bucket.issued)
         return min(room, self._held_limit(bucket, limit, now_s) - existing)
 
     def _mint(self, workspace: str, now_s: float) -> Bucket:
@@ -435,7 +438,12 @@
         grants = []
         for report in request.reports:
             if request.handover:
-                self._take_over(record, report, now_s)
+                self._take_over(
+                    record,
+                    report,
+                    now_s,
+                    used_own_share=request.used_own_share,
+                )
             else:
                 self._set_held(record, report.workspace, report.held, now_s)
             grant = self._grant(record, report, now_s)
@@ -455,16 +463,26 @@
         return tuple(grants)
 
     def _take_over(
-        self, record: NodeRecord, report: messages.TokenReport, now_s: float
+        self,
+        record: NodeRecord,
+        report: messages.TokenReport,
+        now_s: float,
+        *,
+        used_own_share: bool,
     ) -> None:
         """Take tokens and spendings over that this allocator does not know."""
         self._set_held(record, report.workspace, 0, now_s)
         bucket = self._mint(report.workspace, now_s)
-        for age_s, count in enumerate(report.spent):
-            bucket.spent.add(count, now_s, age_s)
+        for age, count in enumerate(report.spent):
+            if count:
+                age_s = age * spent_window.SLOT_S
+                bucket.spent.add(count, now_s, age_s)
+        if used_own_share:
+            # Tokens that were minted from a share which is lent from now on.
+            bucket.issued += sum(report.spent)
         if now_s < self._window_known_s and not record.has_handed_over:
-            bucket.handed_over += report.held
-            bucket.spent_before += sum(report.spent)
+            bucket.handed_over += report.held + sum(report.spent)
+            bucket.held_before += report.held + report.unreported
             bucket.level += report.held
 
     def _grant(
@@ -529,8 +547,12 @@
         rate_per_s = max(limit.rate_per_s * self.fraction, 1e-6)
         demand_per_s = bucket.demand.rate_per_s(now_s)
         next_s = max(1.0 - bucket.level, 0.0) / rate_per_s
+        if self._room(bucket, limit, now_s) < 1.0 - bucket.level:
+            next_s = max(next_s, bucket.spent.next_leave_s() - now_s)
+        next_s = min(next_s, WAIT_MAX_S)
         if demand_per_s <= rate_per_s:
-            wait_s = max(next_s, WAIT_MIN_S)
+            queue_s = min(0.5 * waiting / rate_per_s, SATURATED_WAIT_MIN_S)
+            wait_s = max(next_s, queue_s, WAIT_MIN_S)
             return min(wait_s, WAIT_MAX_S), rate_per_s
         node_part = min(demand.rate_per_s(now_s) / demand_per_s, 1.0)
         node_rate_per_s = rate_per_s * max(node_part, 1e-6)
--- a/src/monsoonpass/core/quotas/authority.py
+++ b/src/monsoonpass/core/quotas/authority.py
@@ -22,16 +22,27 @@
     replica.reports_contact = bool(state.config.catalog.workspaces)
 
 
-def start_s(replica: replica_lib.Replica) -> float:
-    """Return the time from which no predecessor of a leader allocates."""
+def predecessor_end_s(replica: replica_lib.Replica) -> float | None:
+    """Return the time from which no predecessor of a leader allocates.
+
+    Returns:
+        The time, or None if there never was a predecessor.
+    """
     if _is_first_leader(replica):
-        return replica.leader_since_s
-    lease_end_s = (
+        return None
+    return (
         replica.predecessor_contact_s
         + limits_lib.ALLOCATOR_LEASE_S
         + limits_lib.CLOCK_MARGIN_S
     )
-    return max(lease_end_s, replica.leader_since_s)
+
+
+def start_s(replica: replica_lib.Replica) -> float:
+    """Return the time from which a leader may allocate."""
+    end_s = predecessor_end_s(replica)
+    if end_s is None:
+        return replica.leader_since_s
+    return max(end_s, replica.leader_since_s)
 
 
 def find_allocator(
@@ -54,15 +65,15 @@
     begin_s = start_s(replica)
     if now_s < begin_s:
         return None, []
-    is_first = _is_first_leader(replica)
+    end_s = predecessor_end_s(replica)
     quotas.allocator = allocator_lib.Allocator(
         session=replica.term,
         start_s=begin_s,
-        has_predecessor=not is_first,
+        predecessor_end_s=end_s,
     )
     log = effects.Log(
         code=log_events.Code.QUOTA_ALLOCATOR_STARTED,
-        fields={"term": replica.term, "first": is_first},
+        fields={"term": replica.term, "first": end_s is None},
     )
     return quotas.allocator, [log]
 
--- a/src/monsoonpass/core/quotas/quota_messages.py
+++ b/src/monsoonpass/core/quotas/quota_messages.py
@@ -16,7 +16,9 @@
         wanted: Tokens that the node would like to hold in addition.
         calls: Calls that arrived since the report before.
         spent: In a handover, tokens spent in the last seconds, by their age in
-            full seconds.
+            units of `spent_window.SLOT_S`.
+        unreported: In a handover, those of them that the allocator before took
+            for tokens that exist.
     """
 
     workspace: str
@@ -25,6 +27,7 @@
     wanted: int
     calls: int
     spent: tuple[int, ...] = ()
+    unreported: int = 0
 
 
 @codec.register(125)
@@ -42,6 +45,8 @@
         wants_share: Whether the node has enough calls to keep a share.
         handover: Whether the tokens in the reports are handed over, since
             they come from another allocator, or the node used its own share.
+        used_own_share: Whether the spent tokens of a handover are those of the
+            node's own share.
         released: Whether the node gives up its tokens and its share.
         reports: Workspaces whose tokens have changed.
     """
@@ -53,6 +58,7 @@
     share: float
     wants_share: bool
     handover: bool
+    used_own_share: bool
     released: bool
     reports: tuple[TokenReport, ...]
 
--- a/src/monsoonpass/core/quotas/spent_window.py
+++ b/src/monsoonpass/core/quotas/spent_window.py
@@ -39,13 +39,13 @@
         return min(self.slots, default=float("inf")) * SLOT_S
 
     def by_age(self, now_s: float) -> tuple[int, ...]:
-        """Return the counts by full seconds of age, rounded down."""
+        """Return the counts by age in units of `SLOT_S`, rounded down."""
         if not self.count(now_s):
             return ()
-        ages = [0] * (int(limits_lib.WINDOW_S) + 1)
+        ages = [0] * (int(limits_lib.WINDOW_S / SLOT_S) + 1)
         for slot, count in self.slots.items():
             age_s = now_s + limits_lib.WINDOW_S - slot * SLOT_S
-            ages[max(int(age_s), 0)] += count
+            ages[max(int(age_s / SLOT_S), 0)] += count
         while not ages[-1]:
             ages.pop()
         return tuple(ages)
--- a/src/monsoonpass/core/quotas/token_holder.py
+++ b/src/monsoonpass/core/quotas/token_holder.py
@@ -21,10 +21,12 @@
 
 Limit = limits_lib.Limit
 
+# Calls that find no token within this time of a request share the next one.
+REQUEST_INTERVAL_MIN_S = 0.1
 RESEND_INTERVAL_S = 0.3  # Time after which a request counts as lost.
-# Time for which a node wants tokens in advance: until it asks again, and a
-# second without a leader.
-ADVANCE_S = limits_lib.RENEW_INTERVAL_S + 1.0
+# Time for which a node wants tokens in advance: until it asks again, and for
+# the time without a leader.
+ADVANCE_S = limits_lib.RENEW_INTERVAL_S + 1.8
 DEMAND_PERIOD_S = 2.0
 CALLS_PERIOD_S = 10.0
 # Calls a second of all limited workspaces from which a node keeps its tokens
@@ -86,6 +88,9 @@
         held: Unspent tokens of the allocator.
         spent: Tokens spent within the window, including those of the node's
             own share.
+        handed_over: Tokens that the requests since the last reply hand over.
+        unreported: Tokens spent since the request that was answered last.
+        unreported_before: Those of them spent before the request in flight.
         changed: Whether `held` differs from what the allocator last confirmed.
         reported: Whether the request in flight reports the workspace.
         waiting: Calls that wait, oldest first.
@@ -102,6 +107,9 @@
     spent: spent_window.SpentWindow = dataclasses.field(
         default_factory=spent_window.SpentWindow
     )
+    handed_over: int = 0
+    unreported: int = 0
+    unreported_before: int = 0
     changed: bool = False
     reported: bool = False
     waiting: collections.deque[Waiter] = dataclasses.field(
@@ -139,6 +147,7 @@
             was asked does not allocate yet.
         must_hand_over: Whether the tokens come from an earlier session, or
             the node has used its own share.
+        hands_over_own_share: Whether the latter is the case.
         is_active: Whether the node keeps its tokens by renewing them.
         is_on_own_share: Whether the last call was served from the own share.
         calls: Calls of limited workspaces at this node.
@@ -162,6 +171,7 @@
     unanswered: int = 0
     ask_at_s: float = float("-inf")
     must_hand_over: bool = False
+    hands_over_own_share: bool = False
     is_active: bool = False
     is_on_own_share: bool = False
     calls: decayed_count.DecayedCount = dataclasses.field(
@@ -294,6 +304,7 @@
         if tokens.held > 0:
             tokens.held -= 1
             tokens.changed = True
+            tokens.unreported += 1
             tokens.spent.add(1, now_s)
             return True
         if self._own_share_starts_s() <= now_s < self.share_until_s:
@@ -326,20 +337,25 @@
             if tokens.held:
                 tokens.held = 0
                 tokens.changed = True
+            tokens.handed_over = 0
+            tokens.unreported = 0
+            tokens.unreported_before = 0
 
     # Requests.
 
     def next_request_s(self, now_s: float) -> float:
         """Return when a request is due; infinite if none is needed."""
-        if self.in_flight:
-            earliest_s = self.sent_s + RESEND_INTERVAL_S
-        else:
-            earliest_s = self.ask_at_s
+        earliest_s = self.sent_s + RESEND_INTERVAL_S
+        if not self.in_flight:
+            earliest_s = max(
+                self.ask_at_s, self.sent_s + REQUEST_INTERVAL_MIN_S
+            )
         due_s = math.inf
         for tokens in self.tokens.values():
             if len(tokens.waiting) > (tokens.asked if self.in_flight else 0):
                 due_s = min(due_s, tokens.blocked_until_s)
         if self.must_hand_over and not self.in_flight:
+            earliest_s = self.ask_at_s
             due_s = now_s
         if self.in_flight and (self.is_active or self._has_waiting):
             due_s = min(due_s, earliest_s)
@@ -396,7 +412,12 @@
         self.unanswered += 1
         keeps = self.calls.rate_per_s(now_s) >= KEEP_RATE_PER_S
         released = self.is_active and not keeps and not self._has_waiting
+        # Repeated until an allocator has replied, which counts it once.
         handover = self.must_hand_over
+        if handover:
+            for tokens in self.tokens.values():
+                tokens.handed_over += tokens.held
+                tokens.held = 0
         reports = []
         for workspace, tokens in self.tokens.items():
             limit = limits.get(workspace)
@@ -411,12 +432,11 @@
             )
             if report is not None:
                 reports.append(report)
-            if handover or released:
+            if released:
                 tokens.held = 0
         self.is_active = keeps or (self.is_active and not released)
         if released:
             self.in_flight = False
-        self.must_hand_over = False
         request = messages.TokenRequest(
             incarnation=self.incarnation,
             number=self.number,
@@ -425,6 +445,7 @@
             share=self._valid_share(now_s),
             wants_share=keeps,
             handover=handover,
+            used_own_share=handover and self.hands_over_own_share,
             released=released,
             reports=tuple(reports),
         )
@@ -446,15 +467,16 @@
         is_resend: bool,
         keeps: bool,
     ) -> messages.TokenReport | None:
+        tokens.unreported_before = tokens.unreported
         was_reported = is_resend and tokens.reported
         has_changed = tokens.changed or was_reported
         waits = bool(tokens.waiting) and tokens.blocked_until_s <= now_s
         tokens.reported = has_changed or waits
         tokens.asked = len(tokens.waiting) if waits else 0
+        held = tokens.handed_over if is_handover else tokens.held
         spent = tokens.spent.by_age(now_s) if is_handover else ()
-        if tokens.held and (is_handover or is_release):
+        if (held and (is_handover or is_release)) or spent:
             tokens.reported = True
-        tokens.reported = tokens.reported or bool(spent)
         if not tokens.reported:
             return None
         wanted = 0
@@ -464,11 +486,12 @@
             wanted = max(target - tokens.held, 0)
         report = messages.TokenReport(
             workspace=workspace,
-            held=tokens.held,
+            held=held,
             waiting=tokens.asked,
             wanted=wanted,
             calls=tokens.calls,
             spent=spent,
+            unreported=tokens.unreported if is_handover else 0,
         )
         tokens.changed = False
         tokens.calls = 0
@@ -491,7 +514,12 @@
             self.ask_at_s = now_s + reply.retry_s
             return False
         self.unanswered = 0
-        self.must_hand_over = self.is_on_own_share
+        if reply.session == self.session:
+            self.must_hand_over = False
+            self.hands_over_own_share = False
+        if self.is_on_own_share:
+            self.must_hand_over = True
+            self.hands_over_own_share = True
         self.is_on_own_share = False
         self.lent_until_s = now_s + limits_lib.LOAN_S
         self.echo_s = reply.sent_s
@@ -520,6 +548,9 @@
         for tokens in self.tokens.values():
             tokens.reported = False
             tokens.asked = 0
+            tokens.handed_over = 0
+            tokens.unreported -= tokens.unreported_before
+            tokens.unreported_before = 0
         return True
 
 
--- a/tests/fake_quotas.py
+++ b/tests/fake_quotas.py
@@ -300,10 +300,13 @@
             numbers = [n for n in numbers if n != previous.number]
         margin_s = limits_lib.CLOCK_MARGIN_S
         start_s = self.now_s
+        end_s = None
         if previous is not None:
-            start_s = max(start_s, previous.lease_end_s + margin_s)
+            end_s = previous.lease_end_s + margin_s
         elif has_predecessor:
-            start_s += limits_lib.ALLOCATOR_LEASE_S + margin_s
+            end_s = start_s + limits_lib.ALLOCATOR_LEASE_S + margin_s
+        if end_s is not None:
+            start_s = max(start_s, end_s)
         self.leaders.append(
             Leader(
                 number=self.random.choice(numbers),
@@ -312,7 +315,7 @@
                 allocator=allocator_lib.Allocator(
                     session=len(self.leaders) + 1,
                     start_s=start_s,
-                    has_predecessor=has_predecessor,
+                    predecessor_end_s=end_s,
                 ),
             )
         )
