--- a/src/monsoonpass/core/quotas/allocator.py
+++ b/src/monsoonpass/core/quotas/allocator.py
@@ -34,7 +34,7 @@
 Limit = limits_lib.Limit
 
 # Part of the tokens that stays in the bucket for calls that wait.
-RESERVE = 0.15
+RESERVE = 0.08
 # Part of the bucket above the reserve that one node gets in advance. With all
 # of it, the first nodes to ask would leave nothing for the others.
 ADVANCE_PART = 0.25
@@ -44,6 +44,10 @@
 # messages and a longer one makes calls wait.
 SATURATED_WAIT_MIN_S = 0.3
 WAIT_MAX_S = 5.0
+# Time in which nodes find a new allocator and hand over their tokens. Before,
+# calls keep waiting, since their tokens may be at other nodes.
+HANDOVER_S = 1.0
+HANDOVER_WAIT_S = 0.15
 OTHER_VERSION_WAIT_S = 0.1  # Time for a version to spread.
 
 
@@ -151,6 +155,11 @@
             self._tokens_known_s = end_s + limits_lib.LOAN_S
             self._window_known_s = self._tokens_known_s + limits_lib.WINDOW_S
             self._shares_known_s = end_s + limits_lib.SHARE_VALIDITY_S
+        self._handed_over_s = start_s
+        if predecessor_end_s is not None:
+            self._handed_over_s = max(
+                self._tokens_known_s, start_s + HANDOVER_S
+            )
         self._nodes: dict[str, NodeRecord] = {}
         self._buckets: dict[str, Bucket] = {}
         self._limits: Mapping[str, Limit] = {}
@@ -543,7 +552,12 @@
         waiting: int,
         now_s: float,
     ) -> tuple[float, float]:
-        """Return when a node may expect a token, and at which rate then."""
+        """Return when a node may expect a token, and at which rate then.
+
+        The rate is 0 if it is not known, shortly after a change of leader.
+        """
+        if now_s < self._handed_over_s:
+            return HANDOVER_WAIT_S, 0.0
         rate_per_s = max(limit.rate_per_s * self.fraction, 1e-6)
         demand_per_s = bucket.demand.rate_per_s(now_s)
         next_s = max(1.0 - bucket.level, 0.0) / rate_per_s
--- a/src/monsoonpass/core/quotas/quota_handlers.py
+++ b/src/monsoonpass/core/quotas/quota_handlers.py
@@ -23,8 +23,8 @@
 WAIT_PART = 0.5
 # Time after which to ask again if there is no allocator.
 NO_ALLOCATOR_RETRY_S = 0.15
-# As above, if another node is known as the leader. Two nodes may name each other
-# for a moment, so the requests must not follow each other without a pause.
+# As above, if another node is known as the leader. Two nodes may name each
+# other for a moment, so requests must not follow each other without a pause.
 LEADER_HINT_RETRY_S = 0.03
 TIMER_MIN_S = 0.002
 
--- a/src/monsoonpass/core/quotas/token_holder.py
+++ b/src/monsoonpass/core/quotas/token_holder.py
@@ -26,8 +26,9 @@
 RESEND_INTERVAL_S = 0.3  # Time after which a request counts as lost.
 # Time for which a node wants tokens in advance: until it asks again, and for
 # the time without a leader.
-ADVANCE_S = limits_lib.RENEW_INTERVAL_S + 1.8
-DEMAND_PERIOD_S = 2.0
+ADVANCE_S = limits_lib.RENEW_INTERVAL_S + 1.4
+# With a shorter period, a seldom workspace would want two tokens after a call.
+DEMAND_PERIOD_S = 5.0
 CALLS_PERIOD_S = 10.0
 # Calls a second of all limited workspaces from which a node keeps its tokens
 # and a share. Below it, an exchange for each call costs fewer messages.
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -33,6 +33,11 @@
         calls: Finished calls by outcome: "answered", or the outcome of a
             failure.
         refusals: Calls answered with the outcome "not-run", by reason.
+        quota_calls: Calls of limited workspaces by decision: "admitted",
+            "waited" (before either of the others) or "refused".
+        quota_requests: Requests for tokens that this node sent.
+        quota_own_share: Whether calls are admitted from the own share, because
+            no allocator answers.
         call_duration: Time from the arrival of a call to the end of its
             answer.
         calls_in_progress: Calls in progress through this node.
@@ -66,6 +71,22 @@
             ["reason"],
             registry=registry,
         )
+        self.quota_calls = prometheus_client.Gauge(
+            "monsoonpass_quota_calls",
+            "Calls of limited workspaces since the start, by decision.",
+            ["decision"],
+            registry=registry,
+        )
+        self.quota_requests = prometheus_client.Gauge(
+            "monsoonpass_quota_requests",
+            "Requests for tokens sent since the start.",
+            registry=registry,
+        )
+        self.quota_own_share = prometheus_client.Gauge(
+            "monsoonpass_quota_own_share",
+            "1 while no allocator answers and the own share is used.",
+            registry=registry,
+        )
         self.call_duration = prometheus_client.Histogram(
             "monsoonpass_call_duration_seconds",
             "Time from a call's arrival to its whole answer.",
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -385,6 +385,13 @@
         self._metrics.queued_calls.set(state.admission.queued)
         self._metrics.configuration_version.set(state.config.version)
         self._metrics.members.set(state.membership.table.present_count)
+        holder = state.quotas.holder
+        calls = self._metrics.quota_calls
+        calls.labels("admitted").set(holder.admitted)
+        calls.labels("waited").set(holder.waited)
+        calls.labels("refused").set(holder.refused)
+        self._metrics.quota_requests.set(holder.requests)
+        self._metrics.quota_own_share.set(holder.is_on_own_share)
         return Response(
             200,
             self._metrics.render(),
