--- a/src/monsoonpass/core/quotas/allocator.py
+++ b/src/monsoonpass/core/quotas/allocator.py
@@ -34,7 +34,7 @@
 Limit = limits_lib.Limit
 
 # Part of the tokens that stays in the bucket for calls that wait.
-RESERVE = 0.08
+RESERVE = 0.12
 # Part of the bucket above the reserve that one node gets in advance. With all
 # of it, the first nodes to ask would leave nothing for the others.
 ADVANCE_PART = 0.25
@@ -400,7 +400,13 @@
                 limits_lib.WINDOW_S - pause_s,
             )
             at_rate = limit.rate_per_s * self.fraction * minting_s
-            room = max(room, at_rate - bucket.issued)
+            # Fewer tokens may wait unspent, since they would use up what may
+            # be minted until the window is known.
+            unspent_max = limit.held_max - limit.rate_per_s * pause_s
+            at_rate = min(
+                at_rate - bucket.issued, unspent_max * self.fraction - existing
+            )
+            room = max(room, at_rate)
         return min(room, self._held_limit(bucket, limit, now_s) - existing)
 
     def _mint(self, workspace: str, now_s: float) -> Bucket:
--- a/src/monsoonpass/core/quotas/limits.py
+++ b/src/monsoonpass/core/quotas/limits.py
@@ -30,7 +30,7 @@
 # Part of the rate that nodes without an allocator may mint, all together. The
 # allocator keeps the rest, so that it can mint at once after all nodes have
 # lost power, when nobody knows which nodes still hold shares.
-SHARES_TOTAL = 0.4
+SHARES_TOTAL = 0.3
 # Time for which a leader may allocate after it last sent a message that a
 # quorum acknowledged.
 ALLOCATOR_LEASE_S = 0.5
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,10 +15,12 @@
 from monsoonpass.core.quotas import spent_window
 from monsoonpass.core.quotas import token_holder
 from monsoonpass.formats import header_names as header_names_lib
+from monsoonpass.formats import settings as settings_lib
 from monsoonpass.runtime import caller_http
 from tests import fake_calls
 from tests import fake_mesh
 from tests import fake_quotas
+from tests import test_formats
 
 OVER_QUOTA = outcome.Reason.OVER_QUOTA
 CHAOS_SEEDS = range(10)
@@ -349,6 +351,20 @@
         assert dict(headers)[b"monsoonpass-outcome"] == b"not-run"
 
 
+class TestSettings:
+    def test_quotas_section(self):
+        """Guards against settings that do not reach the reducer."""
+        text = test_formats.VALID_SETTINGS
+        text += "[quotas]\nwait_s = 0.5\nslack_ratio = 0.2\nslack_tokens = 5\n"
+        parsed = settings_lib.parse(text).reducer_settings()
+        assert parsed.quota_wait_s == 0.5
+        assert parsed.quota_slack == limits_lib.Slack(ratio=0.2, tokens=5.0)
+        limit = limits_lib.make_limit(10.0, 3.0, parsed.quota_slack)
+        promised = limits_lib.admitted_max(10.0, 3.0, parsed.quota_slack)
+        assert promised == pytest.approx(53.0 * 1.2 + 5.0)
+        assert 53.0 < limit.window_max < promised
+
+
 class TestMessages:
     LIMITS = {
         "w": limits_lib.make_limit(100.0, 0.0, limits_lib.Slack()),
