--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -480,6 +480,232 @@
         assert sum(window.by_age(104.0)[3 * slots_per_s :]) == 3
 
 
+class TestSuccessor:
+    """An allocator whose predecessor ended at 10 s, with 100 tokens a second.
+
+    Its only node hands over nothing that is still valid unless a test says so.
+    """
+
+    LIMITS = TestMessages.LIMITS
+
+    def make(self, *, held=0, spent=(), unreported=0, own=False):
+        allocator = allocator_lib.Allocator(
+            session=3, start_s=10.0, predecessor_end_s=10.0
+        )
+        for number, is_handover in ((1, False), (2, True)):
+            report = messages.TokenReport(
+                workspace="w",
+                held=held,
+                waiting=0,
+                wanted=0,
+                calls=0,
+                spent=tuple(spent),
+                unreported=unreported,
+            )
+            request = messages.TokenRequest(
+                incarnation=1,
+                number=number,
+                session=3 if is_handover else 2,
+                echo_s=10.0,
+                share=limits_lib.SHARES_TOTAL,
+                wants_share=True,
+                handover=is_handover,
+                used_own_share=own,
+                released=False,
+                reports=(report,) if is_handover else (),
+            )
+            self.handle(allocator, request, 10.0)
+        assert allocator.fraction == pytest.approx(1.0)
+        return allocator
+
+    def handle(self, allocator, request, now_s):
+        return allocator.handle(
+            request, instance="n", now_s=now_s, limits=self.LIMITS
+        )
+
+    def tokens_at(self, allocator, now_s):
+        """Return the tokens that exist once the node has asked again."""
+        number = allocator._nodes["n"].number + 1
+        report = messages.TokenReport(
+            workspace="w", held=0, waiting=0, wanted=0, calls=0
+        )
+        request = messages.TokenRequest(
+            incarnation=1,
+            number=number,
+            session=3,
+            echo_s=now_s,
+            share=limits_lib.SHARES_TOTAL,
+            wants_share=True,
+            handover=False,
+            used_own_share=False,
+            released=False,
+            reports=(report,),
+        )
+        self.handle(allocator, request, now_s)
+        return allocator.outstanding("w")
+
+    def test_grants_what_was_handed_over(self):
+        assert self.tokens_at(self.make(held=30), 10.1) == 30
+
+    def test_mints_nothing_beside_unknown_tokens(self):
+        """Guards against more tokens than `held_max` in a change of leader.
+
+        The node spent 80 tokens 4.5 s ago, which leave the window soon, but
+        others may hold tokens for 2 s. Guard: `held_before`.
+        """
+        spent = (0,) * 18 + (80,)
+        assert self.tokens_at(self.make(spent=spent), 11.9) == 0
+        held = self.tokens_at(self.make(spent=spent, unreported=20), 11.9)
+        assert held == pytest.approx(20)
+
+    def test_mints_again_what_has_left_the_window(self):
+        """Guards against requests that wait though what ran is known."""
+        spent = (0,) * 18 + (80,)
+        allocator = self.make(spent=spent)
+        assert self.tokens_at(allocator, 12.1) > 75
+
+    @pytest.mark.parametrize("now_s", [12.2, 13.0, 14.5, 16.9])
+    def test_mints_at_the_rate_after_a_pause(self, now_s):
+        """Guards against the predecessor's tokens and a full bucket at once.
+
+        Guards: `pause_s` and `unspent_max` in `Allocator._room`.
+        """
+        tokens = self.tokens_at(self.make(), now_s)
+        limit = self.LIMITS["w"]
+        unspent = limit.held_max - 100.0 * limits_lib.HELD_EXTRA_S
+        pause_end_s = 10.0 + limits_lib.HELD_EXTRA_S
+        assert 0 < tokens <= min(100.0 * (now_s - pause_end_s), unspent) + 1e-6
+
+    def test_counts_own_shares_as_minted(self):
+        """Guards against a share that its node and the allocator have used.
+
+        Guard: `used_own_share` in `Allocator._take_over`.
+        """
+        allocator = self.make(spent=(60,), own=True)
+        assert self.tokens_at(allocator, 12.1) == 0
+        assert self.tokens_at(allocator, 12.6) == pytest.approx(50)
+
+    def test_knows_the_window_after_its_length(self):
+        allocator = self.make()
+        full = self.LIMITS["w"].held_max
+        assert self.tokens_at(allocator, 17.2) == pytest.approx(full)
+
+
+class TestHolder:
+    LIMITS = TestMessages.LIMITS
+
+    def make(self):
+        """Return a holder with a share, whose loan ends at 12 s."""
+        holder = token_holder.TokenHolder(incarnation=1, session=3)
+        holder.share = 0.1
+        holder.share_until_s = 40.0
+        holder.lent_until_s = 12.0
+        return holder
+
+    def acquire(self, holder, now_s):
+        limit = self.LIMITS["w"]
+        return holder.acquire("w", limit, waiter(1, now_s), now_s)
+
+    def reply(self, holder, now_s, session=3):
+        return messages.TokenReply(
+            number=holder.number,
+            session=session,
+            sent_s=5.0,
+            share=0.1,
+            retry_s=0.0,
+            leader=None,
+        )
+
+    def test_own_share_starts_late_enough(self):
+        """Guards against own shares beside tokens that count on them.
+
+        Guard: `TokenHolder._own_share_starts_s`.
+        """
+        start_s = 12.0 + limits_lib.LOAN_S + limits_lib.WINDOW_S
+        admitted = token_holder.Decision.ADMITTED
+        assert self.acquire(self.make(), start_s - 0.1) is not admitted
+        assert self.acquire(self.make(), start_s + 0.1) is admitted
+        assert self.acquire(self.make(), 40.1) is not admitted
+
+    def test_own_share_is_bounded_by_its_part_of_the_window(self):
+        holder = self.make()
+        decisions = [self.acquire(holder, 20.0) for _ in range(100)]
+        admitted = decisions.count(token_holder.Decision.ADMITTED)
+        assert admitted == int(self.LIMITS["w"].window_max * 0.1)
+
+    def test_spent_own_share_is_handed_over(self):
+        """Guards against an allocator that does not count these requests.
+
+        Guard: `is_on_own_share` in `TokenHolder.handle_reply`.
+        """
+        holder = self.make()
+        self.acquire(holder, 20.0)
+        holder.make_request(self.LIMITS, 20.1)
+        holder.handle_reply(self.reply(holder, 20.2), 20.2)
+        request = holder.make_request(self.LIMITS, 20.2)
+        assert request.handover
+        assert request.used_own_share
+        assert sum(request.reports[0].spent) == 1
+
+    def test_handover_is_repeated_until_an_allocator_replies(self):
+        """Guards against tokens and spendings that nobody counts.
+
+        Guards: `must_hand_over` and `handed_over` are kept until the reply.
+        """
+        holder = self.make()
+        holder.must_hand_over = True
+        holder.valid_until_s = 22.0
+        holder.tokens["w"] = token_holder.Tokens(held=4)
+        first = holder.make_request(self.LIMITS, 20.0)
+        holder.handle_reply(self.reply(holder, 20.1, session=0), 20.1)
+        second = holder.make_request(self.LIMITS, 20.2)
+        assert holder.tokens["w"].held == 0
+        for request in (first, second):
+            assert request.handover
+            assert request.reports[0].held == 4
+        holder.handle_reply(self.reply(holder, 20.3), 20.3)
+        assert not holder.make_request(self.LIMITS, 20.4).handover
+
+    def test_lost_request_is_repeated_with_all_that_changed(self):
+        """Guards against tokens that the allocator never counts as spent.
+
+        Guard: `was_reported` in `TokenHolder._report`.
+        """
+        holder = self.make()
+        holder.valid_until_s = 22.0
+        holder.tokens["w"] = token_holder.Tokens(held=4)
+        self.acquire(holder, 20.0)
+        first = holder.make_request(self.LIMITS, 20.1)
+        second = holder.make_request(self.LIMITS, 20.4)
+        assert [report.held for report in first.reports] == [3]
+        assert [report.held for report in second.reports] == [3]
+        holder.handle_reply(self.reply(holder, 20.5), 20.5)
+        assert not holder.make_request(self.LIMITS, 20.6).reports
+
+    def test_recalled_tokens_are_dropped(self):
+        """Guards against tokens of a limit that was lowered.
+
+        Guards: `held_max` in `Allocator._grant_all`, also for workspaces that
+        the request does not report, and in `TokenHolder.handle_reply`.
+        """
+        pair = TestMessages()
+        allocator, holder = pair.make_pair()
+        holder.serve_waiting(self.LIMITS, 10.0)
+        holder.calls.add(100, 10.0)
+        holder.tokens["w"].demand.add(100, 10.0)
+        holder.tokens["w"].changed = True
+        pair.exchange(allocator, holder, 10.1)
+        assert holder.tokens["w"].held > 25
+        lowered = {"w": limits_lib.make_limit(1.0, 0.0, limits_lib.Slack())}
+        request = holder.make_request(self.LIMITS, 10.3)
+        assert not request.reports
+        reply = allocator.handle(
+            request, instance="n", now_s=10.3, limits=lowered
+        )
+        holder.handle_reply(reply, 10.3)
+        assert holder.tokens["w"].held <= lowered["w"].held_max
+
+
 def waiter(call_id: int, until_s: float) -> token_holder.Waiter:
     return token_holder.Waiter(call_id=call_id, until_s=until_s)
 
