--- a/src/monsoonpass/runtime/metric_types.py
+++ b/src/monsoonpass/runtime/metric_types.py
@@ -128,27 +128,49 @@
         return values + self._created_samples()
 
 
-class Gauge(_Metric):
-    """A metric without labels that rises and falls."""
+class GaugeValue:
+    """A value that rises and falls."""
 
-    type_name = "gauge"
-    value_type = CounterValue
+    def __init__(self) -> None:
+        self.value = 0.0
 
     def set(self, value: float) -> None:
         """Set the value."""
-        self._values[()].value = float(value)
+        self.value = float(value)
 
     def inc(self, amount: float = 1.0) -> None:
         """Add an amount."""
-        self._values[()].value += amount
+        self.value += amount
 
     def dec(self, amount: float = 1.0) -> None:
         """Subtract an amount."""
-        self._values[()].value -= amount
+        self.value -= amount
+
+
+class Gauge(_Metric):
+    """A metric that rises and falls."""
+
+    type_name = "gauge"
+    value_type = GaugeValue
+
+    def set(self, value: float) -> None:
+        """Set the value of a metric without labels."""
+        self._values[()].set(value)
+
+    def inc(self, amount: float = 1.0) -> None:
+        """Add an amount to the value of a metric without labels."""
+        self._values[()].inc(amount)
+
+    def dec(self, amount: float = 1.0) -> None:
+        """Subtract an amount from the value of a metric without labels."""
+        self._values[()].dec(amount)
 
     def samples(self) -> list[Sample]:
-        """Return the line of this metric."""
-        return [(self.name, {}, self._values[()].value)]
+        """Return the lines of this metric."""
+        return [
+            (self.name, labels, value.value)
+            for labels, value in self._named_values()
+        ]
 
 
 class HistogramValue:
--- a/tests/test_metric_types.py
+++ b/tests/test_metric_types.py
@@ -21,6 +21,9 @@
     )
     plain = library.Counter("plain", "Without labels.", registry=registry)
     gauge = library.Gauge("level", "A level.", registry=registry)
+    levels = library.Gauge("levels", "Levels.", ["place"], registry=registry)
+    for label, amount in counted:
+        levels.labels(label).set(amount)
     histogram = library.Histogram(
         "duration", "Durations.", buckets=BUCKETS, registry=registry
     )
