--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -238,6 +238,14 @@
             route=route, statistics_key=f"{host}{route.path}", services=(host,)
         )
 
+    def may_repeat(self, host: str, method: str, path: str) -> bool:
+        """Return whether a call to a host may be executed more than once.
+
+        A call without a route is never executed, so it may be repeated too.
+        """
+        match = self.match(host, method, path)
+        return match is None or match.route.idempotent
+
     def find_route(
         self, service_name: str, method: str, path: str
     ) -> Route | None:
--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -112,6 +112,12 @@
         "warning",
         "The control group has not stored a notice of leaving in time.",
     )
+    CALLERS_SHED = (
+        160,
+        "warning",
+        "Connections or requests of callers were refused or closed, because "
+        "of a limit on what all callers together may use.",
+    )
     CALL_FAILED = (510, "warning", "A call was answered with a failure.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -252,6 +252,12 @@
             it does not.
         stop_after_s: Time for which a stopping node still serves callers.
         link_mbit_s: Bandwidth of the instance's link; 0 if not known.
+        memory_mb: Memory of the instance for this process; 0 if not known.
+            The limits on callers are derived from it.
+        caller_connections: Open connections of callers from which further
+            ones are refused; 0 to derive it.
+        caller_buffer_kb: Bytes received from callers and not passed on, in
+            KiB, from which unfinished bodies are refused; 0 to derive it.
     """
 
     queue: Annotated[int, pydantic.Field(ge=0, le=100000)] = 256
@@ -261,6 +267,9 @@
     kill_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
     stop_after_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
     link_mbit_s: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 0.0
+    memory_mb: Annotated[float, pydantic.Field(ge=0, le=1e7)] = 0.0
+    caller_connections: Annotated[int, pydantic.Field(ge=0, le=1000000)] = 0
+    caller_buffer_kb: Annotated[int, pydantic.Field(ge=0, le=10**9)] = 0
 
 
 class TelemetrySection(Section):
--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -89,17 +89,19 @@
         if scope["type"] != "http":
             return
         arrived_s = engine_lib.now_s()
+        request = scope.get("extensions", {}).get("monsoonpass")
         try:
             exchange = await self._open_exchange(scope, receive)
         except errors.CallerDisconnectedError:
             return
-        connection = scope.get("extensions", {}).get("monsoonpass")
-        if connection is not None:
-            if connection.is_caller_gone:
+        if request is not None:
+            if request.is_caller_gone:
                 # A node that stalled reads requests of callers that gave up.
                 self._metrics.calls.labels("caller-gone").inc()
                 return
-            connection.on_disconnect(exchange.put_caller_gone)
+            request.on_disconnect(exchange.put_caller_gone)
+            if not exchange.body_complete:
+                request.start_streaming()
         call_id = exchange.call_id
         self._exchanges[call_id] = exchange
         self._metrics.calls_in_progress.inc()
@@ -108,7 +110,7 @@
             self._register_local_call(exchange)
             self._report_arrival(scope, exchange)
             get_part = exchange.get
-            if connection is None:
+            if request is None:
                 get_part = functools.partial(
                     self._get_or_disconnect, exchange, receive
                 )
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -1,7 +1,9 @@
 """A node as a process: creates, starts and stops its components."""
 
 from collections.abc import Callable
+import functools
 import pathlib
+import resource
 import time
 from typing import Any
 
@@ -13,17 +15,20 @@
 from monsoonpass.core import events
 from monsoonpass.core import log_events
 from monsoonpass.core import node
+from monsoonpass.core.calls import caller_limits
 from monsoonpass.core.distribution import host_route
 from monsoonpass.formats import journal as journal_lib
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.formats import settings_sections
 from monsoonpass.runtime import caller_app
+from monsoonpass.runtime import caller_load
 from monsoonpass.runtime import effect_failures
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import event_log
 from monsoonpass.runtime import http_server
 from monsoonpass.runtime import journal_writer
 from monsoonpass.runtime import link as link_lib
+from monsoonpass.runtime import memory_trim
 from monsoonpass.runtime import mesh
 from monsoonpass.runtime import metrics
 from monsoonpass.runtime import operator_api
@@ -88,6 +93,7 @@
         )
         self._journal = self._open_journal()
         self._create_components()
+        self._create_caller_load()
 
     async def run(self) -> None:
         """Serve until a planned stop has ended, then close the files."""
@@ -100,6 +106,7 @@
                 self._traffic.run,
                 self._upstream_runner.run,
                 self._caller_app.run,
+                memory_trim.run,
             ):
                 group.start_soon(task)
             self._start_http_servers(group)
@@ -223,6 +230,39 @@
             effects.StopCompleted, lambda _: self._stopped.set()
         )
 
+    def _create_caller_load(self) -> None:
+        """Create the limits that all HTTP servers of the node share."""
+        section = self._settings.limits
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = caller_limits.derive(
+            memory_mb=section.memory_mb,
+            connections=section.caller_connections,
+            buffer_kb=section.caller_buffer_kb,
+            descriptors=max(descriptors, 0),
+        )
+        report = caller_load.ShedReport(
+            logger=self._logger, metrics=self._metrics
+        )
+        self._caller_load = caller_load.CallerLoad(
+            limits=limits, on_shed=report.count
+        )
+        self._caller_gate = caller_load.ConnectionGate(
+            connections_max=limits.connections_max
+        )
+        self._operator_gate = caller_load.ConnectionGate(
+            connections_max=limits.operator_connections_max
+        )
+        for port, gate in (
+            ("callers", self._caller_gate),
+            ("operators", self._operator_gate),
+        ):
+            self._metrics.caller_connections.labels(port).set_function(
+                functools.partial(len, gate.connections)
+            )
+        self._metrics.caller_received_bytes.set_function(
+            lambda: self._caller_load.budget.held_bytes
+        )
+
     def _open_journal(self) -> journal_lib.Journal | None:
         section = self._settings.disk
         if section is None:
@@ -282,6 +322,7 @@
                 address,
                 self._caller_app.app,
                 lambda: state.config.catalog.limits,
+                self._caller_gate,
             )
         for address in listen.operators:
             group.start_soon(
@@ -289,6 +330,7 @@
                 address,
                 self._operator_api.app,
                 lambda: operator_api.LIMITS,
+                self._operator_gate,
             )
 
     async def _serve(
@@ -296,6 +338,7 @@
         listen: settings_sections.HostPort,
         app: http_server.App,
         limits: Callable[[], host_route.RequestLimits],
+        gate: caller_load.ConnectionGate,
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
@@ -305,6 +348,8 @@
             on_error=lambda error: self.engine.report_failure(
                 effect_failures.describe("HttpConnection", error)
             ),
+            load=self._caller_load,
+            gate=gate,
         )
         self._servers.append(server)
         await server.serve(listen.host, listen.port)
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -46,6 +46,10 @@
         peer_message_bytes: Bytes sent to peers, by type of message and by
             distance.
         disk_sync_duration: Time to write and sync a batch of journal records.
+        caller_connections: Open connections, by kind of port.
+        caller_received_bytes: Bytes received from callers and not passed on.
+        callers_shed: What was refused or closed because of a limit on all
+            callers together, by kind.
         confined_failures: Unexpected errors that did not end the node, by the
             effect or component that failed.
     """
@@ -116,6 +120,23 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.caller_connections = prometheus_client.Gauge(
+            "monsoonpass_caller_connections",
+            "Open connections by kind of port.",
+            ["port"],
+            registry=registry,
+        )
+        self.caller_received_bytes = prometheus_client.Gauge(
+            "monsoonpass_caller_received_bytes",
+            "Bytes received from callers and not passed on.",
+            registry=registry,
+        )
+        self.callers_shed = prometheus_client.Counter(
+            "monsoonpass_callers_shed",
+            "Connections and requests refused or closed by limits.",
+            ["kind"],
+            registry=registry,
+        )
         self.confined_failures = prometheus_client.Counter(
             "monsoonpass_confined_failures",
             "Unexpected errors that did not end the node.",
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,7 +6,11 @@
 import anyio.lowlevel
 import pytest
 
+from monsoonpass.core.calls import caller_limits
 from monsoonpass.core.distribution import host_route
+from monsoonpass.runtime import caller_connection
+from monsoonpass.runtime import caller_load
+from monsoonpass.runtime import caller_request
 from monsoonpass.runtime import http_server
 from monsoonpass.runtime import parse_throttle
 from monsoonpass.standin import local_mesh
@@ -19,11 +23,18 @@
 class ServerFixture:
     """Server with a given application on a free port."""
 
-    def __init__(self, app):
+    def __init__(self, app, **limits):
         self.closing = False
         self.port = local_mesh.free_ports(1)[0]
+        self.shed = []
+        self.load = caller_load.CallerLoad(
+            limits=caller_limits.derive(**limits), on_shed=self.shed.append
+        )
         self.server = http_server.Server(
-            app=app, limits=lambda: LIMITS, is_closing=lambda: self.closing
+            app=app,
+            limits=lambda: LIMITS,
+            is_closing=lambda: self.closing,
+            load=self.load,
         )
 
     async def open(self):
@@ -35,11 +46,11 @@
                 await anyio.sleep(0.01)
 
 
-def run_with_server(app, scenario) -> None:
+def run_with_server(app, scenario, **limits) -> None:
     """Run a scenario against a server with the given application."""
 
     async def run():
-        fixture = ServerFixture(app)
+        fixture = ServerFixture(app, **limits)
         with anyio.fail_after(20):
             async with anyio.create_task_group() as group:
                 group.start_soon(
@@ -334,9 +345,17 @@
 
         run_with_server(app, scenario)
 
-    def test_body_in_small_chunks_lets_other_tasks_run(self):
-        """Guard: `pause` in Connection._receive."""
+    @pytest.mark.parametrize("chunk", [b"1;a\r\nx\r\n", b"3\r\nxxx\r\n"])
+    def test_body_in_small_chunks_lets_other_tasks_run(self, chunk):
+        """Guard: `pause` in CallerRequest.receive.
+
+        Plain chunks are merged before they are parsed and take less time, so
+        that more of them are allowed between two pauses.
+        """
         size = 8 * parse_throttle.BURST_EVENTS_MAX
+        if b";" not in chunk:
+            size *= caller_request.STEPS_PER_EVENT
+        data_bytes = size * chunk.count(b"x")
         turns = []
 
         async def app(scope, receive, send):
@@ -365,10 +384,10 @@
                 await stream.send(
                     b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
                     b"transfer-encoding: chunked\r\n\r\n"
-                    + b"1\r\nx\r\n" * size
+                    + chunk * size
                     + b"0\r\n\r\n"
                 )
-                data = await receive_until(stream, b"x" * size)
+                data = await receive_until(stream, b"x" * data_bytes)
             assert data.startswith(b"HTTP/1.1 200")
             assert len(turns) >= 4
 
@@ -561,6 +580,206 @@
         run_with_server(status_app, scenario)
 
 
+CHUNKED_UPLOAD = (
+    b"POST /photos HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+
+
+class TestSharedLimits:
+    """Limits on what all connections of a node use together."""
+
+    def test_unfinished_body_is_refused_when_the_budget_is_exhausted(self):
+        """Guards against bodies that together exhaust the memory.
+
+        Guard: `refuse_body` in CallerLoad.count_received.
+        """
+
+        async def scenario(fixture):
+            stalled = await fixture.open()
+            await stalled.send(CHUNKED_UPLOAD + b"ea60\r\n" + b"x" * 60_000)
+            await anyio.sleep(0.05)
+            assert 60_000 <= fixture.load.budget.held_bytes <= 60_100
+            other = await fixture.open()
+            await other.send(CHUNKED_UPLOAD + b"9c40\r\n" + b"x" * 40_000)
+            refused = await receive_all(stalled)
+            assert refused.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 1" in refused
+            await other.send(b"\r\n0\r\n\r\n")
+            data = await receive_until(other, b"whole")
+            assert data.startswith(b"HTTP/1.1 200")
+            assert fixture.shed == [caller_load.BODY_REFUSED]
+            await other.aclose()
+            await stalled.aclose()
+            while fixture.load.budget.held_bytes:
+                await anyio.sleep(0.01)
+
+        run_with_server(reading_app, scenario, buffer_kb=80)
+
+    def test_body_that_is_passed_on_counts_only_while_it_is_held(self):
+        """Guards against long uploads that use up the budget."""
+        held = []
+
+        async def app(scope, receive, send):
+            scope["extensions"]["monsoonpass"].start_streaming()
+            while (await receive()).get("more_body"):
+                held.append(fixtures[0].load.budget.held_bytes)
+            await answer(send)
+
+        async def scenario(fixture):
+            fixtures.append(fixture)
+            async with await fixture.open() as stream:
+                await send_chunks(stream, 20)
+                await stream.send(b"0\r\n\r\n")
+                data = await receive_until(stream, b"whole")
+                assert data.startswith(b"HTTP/1.1 200")
+                assert fixture.load.budget.held_bytes == 0
+            assert max(held) < 200_000
+
+        fixtures = []
+        run_with_server(app, scenario)
+
+    def test_body_without_progress_is_answered_with_a_timeout(
+        self, monkeypatch
+    ):
+        """Guard: BODY_IDLE_TIMEOUT_S in CallerRequest._wait_for_body."""
+        monkeypatch.setattr(caller_request, "BODY_IDLE_TIMEOUT_S", 0.1)
+
+        async def scenario(fixture):
+            async with await fixture.open() as stream:
+                await stream.send(UPLOAD + b"half")
+                data = await receive_all(stream)
+            assert data.startswith(b"HTTP/1.1 408")
+            assert fixture.shed == [caller_load.BODY_TIMED_OUT]
+
+        run_with_server(reading_app, scenario)
+
+    def test_no_status_promises_that_a_started_call_has_not_run(
+        self, monkeypatch
+    ):
+        """Guard: `is_broken_off` in Connection._conclude."""
+        monkeypatch.setattr(caller_request, "BODY_IDLE_TIMEOUT_S", 0.1)
+
+        async def app(scope, receive, send):
+            scope["extensions"]["monsoonpass"].start_streaming()
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        async def scenario(fixture):
+            for data in (UPLOAD + b"half", CHUNKED_UPLOAD + b"2\r\nabc"):
+                async with await fixture.open() as stream:
+                    await stream.send(data)
+                    assert await receive_all(stream) == b""
+
+        run_with_server(app, scenario)
+
+    def test_connections_beyond_the_bound_are_refused(self):
+        """Guard: `admit` in Server._admit."""
+
+        async def scenario(fixture):
+            busy = [await fixture.open() for _ in range(16)]
+            for stream in busy:
+                await stream.send(b"GET /200/9000 HTTP/1.1\r\nhost: a\r\n\r\n")
+            while fixture.load.open_requests < 16:
+                await anyio.sleep(0.01)
+            async with await fixture.open() as stream:
+                assert (await receive_all(stream)).startswith(b"HTTP/1.1 503")
+            assert fixture.shed == [caller_load.CONNECTION_REFUSED]
+
+        run_with_server(status_app, scenario, connections=16)
+
+    def test_idle_connection_makes_room_for_another(self, monkeypatch):
+        """Guards against idle callers that shut out all others."""
+        monkeypatch.setattr(caller_load, "CLOSE_FOR_OTHERS_AFTER_S", 0.0)
+
+        async def scenario(fixture):
+            idle = [await fixture.open() for _ in range(16)]
+            await anyio.sleep(0.05)
+            async with await fixture.open() as stream:
+                await stream.send(REQUEST)
+                data = await receive_until(stream, b"whole")
+                assert data.startswith(b"HTTP/1.1 200")
+            assert await receive_all(idle[0]) == b""
+            assert fixture.shed == [caller_load.CONNECTION_CLOSED]
+
+        run_with_server(simple_app, scenario, connections=16)
+
+    def test_pipelining_connection_makes_room_after_its_next_answer(self):
+        """Guards against pipelining callers that shut out all others."""
+
+        async def scenario(fixture):
+            busy = [await fixture.open() for _ in range(16)]
+            for stream in busy:
+                await stream.send(pipelined(*["/200/300"] * 40))
+            while fixture.load.open_requests < 16:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.05)
+            async with await fixture.open() as stream:
+                await stream.send(pipelined("/200"))
+                data = await receive_until(stream, b"/200;")
+                assert data.startswith(b"HTTP/1.1 200")
+            assert fixture.shed == [caller_load.CONNECTION_CLOSED]
+            answers = []
+            async with anyio.create_task_group() as group:
+
+                async def collect(stream):
+                    answers.append(await receive_all(stream))
+                    group.cancel_scope.cancel()
+
+                for stream in busy:
+                    group.start_soon(collect, stream)
+            assert b"connection: close" in answers[0].lower()
+            assert answers[0].endswith(b"/200/300;")
+
+        run_with_server(status_app, scenario, connections=16)
+
+    def test_caller_that_leaves_is_noticed_while_reading_is_paused(self):
+        """Guards against calls that run on for a caller that has left.
+
+        Guard: the watch in Connection._wait_for_space.
+        """
+        left = anyio.Event()
+
+        async def app(scope, receive, send):
+            scope["extensions"]["monsoonpass"].on_disconnect(left.set)
+            await left.wait()
+
+        async def scenario(fixture):
+            stream = await fixture.open()
+            await stream.send(
+                b"POST /photos HTTP/1.1\r\nhost: shop\r\n"
+                b"content-length: 300000\r\n\r\n" + bytes(100_000)
+            )
+            await anyio.sleep(0.05)
+            assert 16_000 < fixture.load.budget.held_bytes < 40_000
+            await stream.aclose()
+            await left.wait()
+
+        run_with_server(app, scenario)
+
+    def test_unread_answers_time_out_and_stop_further_requests(
+        self, monkeypatch
+    ):
+        """Guard: SEND_TIMEOUT_S in Connection.send."""
+        monkeypatch.setattr(caller_connection, "SEND_TIMEOUT_S", 0.2)
+        served = []
+
+        async def app(scope, receive, send):
+            await receive()
+            served.append(scope["path"])
+            await answer(send, bytes(100_000))
+
+        async def scenario(fixture):
+            async with await fixture.open() as stream:
+                await stream.send(REQUEST * 1000)
+                while caller_load.ANSWER_UNREAD not in fixture.shed:
+                    await anyio.sleep(0.01)
+                count = len(served)
+                await anyio.sleep(0.1)
+                assert len(served) == count < 300
+
+        run_with_server(app, scenario)
+
+
 class TestFinish:
     def test_open_request_is_answered_before_the_server_has_finished(self):
         """A planned stop ends while an answer is being sent.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,7 +39,7 @@
         "retryBudgetSlack": 60,
         "budgetWindow": 10,
     },
-    "limits": {"linkMbps": 3.5},
+    "limits": {"linkMbps": 3.5, "memoryMb": 200},
     "service": "shop",
 }
 
@@ -91,6 +91,7 @@
         assert {seed.address.port for seed in core.seeds} == {7000}
         assert len(settings.listen.operators) == 3
         assert settings.limits.link_mbit_s == 3.5
+        assert settings.limits.memory_mb == 200.0
 
     def test_missing_link_bandwidth_is_0_for_unknown(self):
         settings = settings_lib.parse(render({**FIELDS, "limits": None}))
