--- a/src/monsoonpass/runtime/caller_app.py
+++ b/src/monsoonpass/runtime/caller_app.py
@@ -17,6 +17,7 @@
 from monsoonpass.formats import header_names as header_names_lib
 from monsoonpass.runtime import body as body_lib
 from monsoonpass.runtime import caller_http
+from monsoonpass.runtime import caller_request
 from monsoonpass.runtime import engine as engine_lib
 from monsoonpass.runtime import event_log
 from monsoonpass.runtime import exchange as exchange_lib
@@ -88,10 +89,15 @@
         """Serve one request (ASGI)."""
         if scope["type"] != "http":
             return
-        arrived_s = engine_lib.now_s()
         request = scope.get("extensions", {}).get("monsoonpass")
         try:
+            if request is not None and not request.is_first:
+                await self._wait_for_turn(scope, request)
+            arrived_s = engine_lib.now_s()
             exchange = await self._open_exchange(scope, receive)
+            if request is not None and not request.is_first:
+                # Another configuration may have come into force meanwhile.
+                await self._wait_for_turn(scope, request)
         except errors.CallerDisconnectedError:
             return
         if request is not None:
@@ -132,6 +138,23 @@
                     )
                 self._remove_local_call(call_id)
 
+    async def _wait_for_turn(
+        self, scope: dict[str, Any], request: caller_request.CallerRequest
+    ) -> None:
+        """Wait until a request that others precede may be executed.
+
+        If the answer to one of them closes the connection, the caller sends
+        the request again, which must not have run then if it may run only
+        once.
+
+        Raises:
+            CallerDisconnectedError: The caller has disconnected.
+        """
+        host = caller_http.host(dict(scope["headers"]))
+        catalog = self._engine.state.config.catalog
+        if not catalog.may_repeat(host, scope["method"], scope["path"]):
+            await request.wait_until_first()
+
     def _remove_local_call(self, call_id: int) -> None:
         """Remove the registration of a call that can no longer be dispatched.
 
@@ -230,11 +253,8 @@
         self, scope: dict[str, Any], receive: Receive
     ) -> exchange_lib.Exchange:
         headers = dict(scope["headers"])
-        host = headers.get(b"host", b"").decode("latin-1")
         state = self._engine.state
         own_service = state.admission.service or state.settings.service
-        if not host:
-            host = headers.get(b":authority", b"").decode("latin-1")
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
@@ -244,7 +264,7 @@
         traceparent = headers.get(b"traceparent", b"").decode("latin-1")
         return exchange_lib.Exchange(
             call_id=self.next_number(),
-            host=host.partition(":")[0].lower(),
+            host=caller_http.host(headers),
             method=scope["method"],
             target=target,
             headers=caller_http.request_headers(
--- a/src/monsoonpass/runtime/caller_connection.py
+++ b/src/monsoonpass/runtime/caller_connection.py
@@ -29,7 +29,7 @@
 # Unparsed bytes above which nothing more is read, unless a head is longer.
 UNPARSED_MAX_BYTES = 16 * 1024
 # Requests of one connection that are served at once.
-PIPELINE_MAX = 1
+PIPELINE_MAX = 8
 # Time for the caller to read the answer before the connection is closed.
 LINGER_TIMEOUT_S = 1.0
 # A caller that accepts no data for this time counts as disconnected.
@@ -98,6 +98,8 @@
         self._service = service
         self._stream = stream
         self._holder = self.load.open_holder(self)
+        # Made here, since the connection may be closed before it is run.
+        self._scope = anyio.CancelScope()
         self._group: anyio.abc.TaskGroup | None = None
         self._received = bytearray()
         self._head_search_start = 0
@@ -118,12 +120,13 @@
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                group.start_soon(self._read)
-                while await self._serve_next():
-                    pass
-                group.cancel_scope.cancel()
+            with self._scope:
+                async with anyio.create_task_group() as group:
+                    self._group = group
+                    group.start_soon(self._read)
+                    while await self._serve_next():
+                        pass
+                    group.cancel_scope.cancel()
         finally:
             self._service.hangups.remove(self._stream)
             self._count_open(-len(self._requests))
@@ -147,7 +150,7 @@
         self.load.on_shed(caller_load.CONNECTION_CLOSED)
         if self._requests:
             self._stream.reset_on_close()
-        self._group.cancel_scope.cancel()
+        self._scope.cancel()
 
     def close_after_answer(self) -> bool:
         """Close a connection with requests that wait, after its next answer.
@@ -254,7 +257,7 @@
             self.load.count_received(self._holder, len(data))
             self._data_arrived.set()
             if self._requests:
-                self._start_pipelined()
+                self.start_pipelined()
         self._disconnect()
 
     async def _wait_for_space(self) -> None:
@@ -286,6 +289,8 @@
             if request.is_declared_too_long:
                 await self._reject(413)
                 return False
+            if self._received:
+                self.start_pipelined()
             await self._run(request)
         if not await self._conclude(request):
             return False
@@ -294,7 +299,7 @@
         self._holder.progress_s = anyio.current_time()
         if self._requests:
             self._requests[0].become_first()
-            self._start_pipelined()
+            self.start_pipelined()
         if self._received:
             # Other connections get their turn between pipelined requests.
             await anyio.lowlevel.checkpoint()
@@ -332,7 +337,7 @@
             return False
         return not self.is_disconnected
 
-    def _start_pipelined(self) -> None:
+    def start_pipelined(self) -> None:
         """Start requests that have arrived behind others, as far as allowed."""
         while (
             self._received
--- a/src/monsoonpass/runtime/caller_http.py
+++ b/src/monsoonpass/runtime/caller_http.py
@@ -83,6 +83,12 @@
     return b"".join(parts), ended
 
 
+def host(headers: dict[bytes, bytes]) -> str:
+    """Return the host that a request addresses, without its port."""
+    value = headers.get(b"host", b"") or headers.get(b":authority", b"")
+    return value.decode("latin-1").partition(":")[0].lower()
+
+
 def body_rest_bytes(
     headers: dict[bytes, bytes], exchange: exchange_lib.Exchange
 ) -> int:
--- a/src/monsoonpass/runtime/caller_request.py
+++ b/src/monsoonpass/runtime/caller_request.py
@@ -57,6 +57,9 @@
     def set_collecting(self, collecting: bool) -> None:
         """Record whether a body is received whose request may be refused."""
 
+    def start_pipelined(self) -> None:
+        """Start requests that have arrived behind others, as far as allowed."""
+
     async def wait_for_data(self) -> None:
         """Wait until more was received, or the caller has disconnected."""
 
@@ -175,6 +178,8 @@
         Raises:
             CallerDisconnectedError: The caller has disconnected.
         """
+        if self.is_first:
+            return
         self.is_parked = True
         await self._may_go_on.wait()
         self.is_parked = False
@@ -373,6 +378,7 @@
         if rest:
             self._counted_bytes -= len(rest)
             self._connection.put_back(rest)
+        self._connection.start_pipelined()
 
     def _release(self, size_bytes: int) -> None:
         self._counted_bytes -= size_bytes
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -129,6 +129,12 @@
         """Serve one request (ASGI)."""
         if scope["type"] != "http":
             return
+        request = scope.get("extensions", {}).get("monsoonpass")
+        if request is not None and scope["method"] != "GET":
+            try:
+                await request.wait_until_first()
+            except errors.CallerDisconnectedError:
+                return
         try:
             response = await self._handle(scope, receive)
         except Response as raised:
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -476,3 +476,94 @@
             assert response.status_code == 200
 
         run_mesh(tmp_path, TWO_NODES, scenario)
+
+
+class TestPipelining:
+    """Requests on one connection, of routes that may repeat calls or not.
+
+    "/photos" is idempotent, "/payments" is not.
+    """
+
+    SPECS = (local_mesh.NodeSpec(instance="n0", service="shop"),)
+
+    def test_call_that_may_run_only_once_starts_behind_the_answers(
+        self, tmp_path
+    ):
+        """Guard: `_wait_for_turn` in CallerApp.app."""
+
+        async def scenario(mesh):
+            node = mesh.nodes[0]
+            data = pipelined_calls(
+                ("GET", "/photos?ms=150&id=a"),
+                ("POST", "/payments?id=b"),
+                ("GET", "/photos?ms=1&id=c"),
+            )
+            stream = await anyio.connect_tcp("127.0.0.1", node.caller_port)
+            async with stream:
+                await stream.send(data)
+                answers = b""
+                while b'"id": "c"' not in answers:
+                    answers += await stream.receive()
+            places = [answers.index(b'"id": "%c"' % name) for name in b"abc"]
+            assert places == sorted(places)
+            assert node.upstream.runs == {"a": 1, "b": 1, "c": 1}
+
+        run_mesh(tmp_path, self.SPECS, scenario, http2=False)
+
+    def test_call_behind_one_whose_caller_leaves_is_never_run(self, tmp_path):
+        """Calls in progress end; one that may run only once never starts."""
+
+        async def scenario(mesh):
+            node = mesh.nodes[0]
+            data = pipelined_calls(
+                ("GET", "/photos?ms=20000&id=a"),
+                ("POST", "/payments?id=b"),
+                ("GET", "/photos?ms=20000&id=c"),
+            )
+            stream = await anyio.connect_tcp("127.0.0.1", node.caller_port)
+            async with stream:
+                await stream.send(data)
+                while node.upstream.runs["c"] == 0:
+                    await anyio.sleep(0.01)
+            state = node.daemon.engine.state
+            while state.calls or state.admission.in_progress:
+                await anyio.sleep(0.01)
+            assert node.upstream.runs == {"a": 1, "c": 1}
+
+        run_mesh(tmp_path, self.SPECS, scenario, http2=False)
+
+    def test_route_that_changes_while_the_body_arrives_counts(self, tmp_path):
+        """Guard: the second `_wait_for_turn` in CallerApp.app."""
+
+        async def scenario(mesh):
+            node = mesh.nodes[0]
+            stream = await anyio.connect_tcp("127.0.0.1", node.caller_port)
+            async with stream:
+                await stream.send(
+                    pipelined_calls(("GET", "/photos?ms=20000&id=a"))
+                    + b"PUT /photos?id=b HTTP/1.1\r\nhost: shop\r\n"
+                    b"content-length: 8\r\n\r\nhalf"
+                )
+                while node.upstream.runs["a"] == 0:
+                    await anyio.sleep(0.01)
+                text = OPERATOR_TEXT.replace("version: 1", "version: 2")
+                text = text.replace("idempotent: true", "idempotent: false")
+                answer = await mesh.submit(node, text)
+                assert answer.status_code == 200
+                await mesh.wait_for_version(2)
+                await stream.send(b"rest")
+                await anyio.sleep(0.3)
+                assert node.upstream.runs == {"a": 1}
+
+        run_mesh(tmp_path, self.SPECS, scenario, http2=False)
+
+
+def pipelined_calls(*calls: tuple[str, str]) -> bytes:
+    """Return requests to service "shop" to be sent at once."""
+    return b"".join(
+        (
+            f"{method} {target} HTTP/1.1\r\nhost: shop\r\n"
+            "content-length: 0\r\n\r\n"
+        ).encode()
+        for method, target in calls
+    )
--- a/tests/test_http_ends_fuzz.py
+++ b/tests/test_http_ends_fuzz.py
@@ -12,6 +12,7 @@
 import tempfile
 
 import anyio
+import h11
 import httpx
 import hypothesis
 from hypothesis import strategies as st
@@ -66,8 +67,23 @@
     st.floats(0.0, 8.0),
     st.booleans(),
 )
+# Requests that are sent at once, with the place at which the data is split.
+pipelines = st.tuples(
+    st.just("pipeline"),
+    st.lists(
+        st.tuples(
+            st.sampled_from(("idempotent", "idempotent", "once")), answers
+        ),
+        min_size=2,
+        max_size=10,
+    ),
+    st.floats(0.0, 1.0),
+    st.booleans(),
+)
 actions = st.one_of(
     st.tuples(st.just("get"), answers),
+    pipelines,
+    pipelines,
     uploads,
     uploads,
     uploads,
@@ -186,6 +202,80 @@
             await stream.send(data[:end])
             await anyio.sleep(after_ms / 1000.0)
 
+    async def pipeline(self, requests, split: float, has_bodies: bool) -> None:
+        """Send requests at once, and check the answers in their order.
+
+        A connection that ends early leaves the requests behind it as not
+        read: those that may run only once must not have reached an upstream.
+        """
+        sent = []
+        data = b""
+        _, node = self.next_call()
+        for kind, script in requests:
+            request_id, _ = self.next_call()
+            sent.append((request_id, kind, script))
+            body = scripted_upstream.pattern(request_id, 8 * has_bodies)
+            data += (
+                f"PUT /{kind}/x HTTP/1.1\r\nhost: shop\r\n"
+                f"content-length: {len(body)}\r\n"
+                f"{scripted_upstream.ID_HEADER}: {request_id}\r\n"
+                f"{scripted_upstream.SCRIPT_HEADER}: {script.to_header()}\r\n"
+                "\r\n"
+            ).encode() + body
+        stream = await anyio.connect_tcp("127.0.0.1", node.caller_port)
+        async with stream:
+            await stream.send(data[: int(len(data) * split)])
+            await anyio.sleep(0.002)
+            await stream.send(data[int(len(data) * split) :])
+            answered = await self.check_answers(stream, sent)
+        for request_id, kind, script in sent[answered + 1 :]:
+            # Only an answer that breaks off ends the connection.
+            assert any(item[2].cut for item in sent[: answered + 1]), script
+            if kind == "once":
+                assert request_id not in self.upstream.arrived
+        for request_id, kind, _ in sent:
+            if kind == "once":
+                assert self.upstream.arrived.count(request_id) <= 1
+
+    async def check_answers(self, stream, sent) -> int:
+        """Check answers; return how many came before the connection ended."""
+        data = b""
+        for count, (request_id, _, script) in enumerate(sent):
+            parser = h11.Connection(h11.CLIENT)
+            parser.send(
+                h11.Request(method="PUT", target="/", headers=[("host", "a")])
+            )
+            parser.send(h11.EndOfMessage())
+            if data:
+                parser.receive_data(data)
+            status = 0
+            body = b""
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        parser.receive_data(await stream.receive())
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        return count
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                else:
+                    break
+            if status == 200:
+                expected = scripted_upstream.pattern(
+                    request_id, script.answer_bytes
+                )
+                assert body == expected, ("not whole", script)
+            else:
+                # 413: a tight limit may be in force.
+                assert status in (413, 502, 503), (status, script)
+                if status == 413:
+                    return len(sent)
+            data = parser.trailing_data[0]
+        return len(sent)
+
     async def odd(self, number: str) -> None:
         """Send an odd number wherever one may be sent."""
         url = f"{self.mesh.nodes[self.number % 2].operator_url}/v1"
