--- a/src/monsoonpass/runtime/caller_connection.py
+++ b/src/monsoonpass/runtime/caller_connection.py
@@ -128,10 +128,22 @@
                         pass
                     group.cancel_scope.cancel()
         finally:
+            self._reset_if_answering()
             self._service.hangups.remove(self._stream)
             self._count_open(-len(self._requests))
             self.load.close_holder(self._holder)
 
+    def _reset_if_answering(self) -> None:
+        """Reset a connection that ends in the middle of an answer.
+
+        Callers with HTTP/1.0 take a close for the end of the answer.
+        """
+        if any(
+            request.parser.our_state is h11.SEND_BODY
+            for request in self._requests
+        ):
+            self._stream.reset_on_close()
+
     @property
     def is_caller_gone(self) -> bool:
         """Whether the caller has closed, even if data before that is unread."""
