--- a/src/monsoonpass/runtime/caller_connection.py
+++ b/src/monsoonpass/runtime/caller_connection.py
@@ -187,7 +187,6 @@
     def refuse_body(self) -> None:
         """Refuse the request whose body is being received."""
         self._requests[-1].refuse(503)
-        self._data_arrived.set()
 
     def take(self, max_bytes: int) -> bytes:
         """Remove received bytes and return them."""
@@ -209,6 +208,10 @@
         if collecting != self._holder.collecting:
             self.load.budget.set_collecting(self._holder, collecting)
 
+    def wake(self) -> None:
+        """End a wait for data, so that its task looks at its state."""
+        self._data_arrived.set()
+
     async def wait_for_data(self) -> None:
         """Wait until more was received, or the caller has disconnected."""
         self._data_arrived = anyio.Event()
--- a/src/monsoonpass/runtime/caller_request.py
+++ b/src/monsoonpass/runtime/caller_request.py
@@ -60,6 +60,9 @@
     def start_pipelined(self) -> None:
         """Start requests that have arrived behind others, as far as allowed."""
 
+    def wake(self) -> None:
+        """End a wait for data, so that its task looks at its state."""
+
     async def wait_for_data(self) -> None:
         """Wait until more was received, or the caller has disconnected."""
 
@@ -204,6 +207,7 @@
             self.refused_status = status
             self._release_all()
             self._over.set()
+            self._connection.wake()
 
     async def run(
         self, app: Callable[..., Any], on_error: Callable[[Exception], None]
@@ -218,6 +222,7 @@
         finally:
             self._disconnect_callback = None
             self._over.set()
+            self._connection.wake()
             self._release_all()
             self.ended.set()
 
--- a/src/monsoonpass/runtime/caller_stream.py
+++ b/src/monsoonpass/runtime/caller_stream.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import select
 import socket
 import struct
@@ -51,7 +52,8 @@
         self.send_waits_since_s: float | None = None
         self._raw = raw
         raw.setblocking(False)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # The caller may have left already.
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._hangups = select.poll()
         self._hangups.register(raw.fileno(), select.POLLRDHUP)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,6 +160,34 @@
         tasks = None
         run_with_server(app, scenario)
 
+    def test_task_that_reads_an_unfinished_body_ends_with_the_request(self):
+        """Guard: `wake` in CallerRequest.run."""
+        ended = anyio.Event()
+
+        async def app(scope, receive, send):
+            await receive()
+            tasks.start_soon(read_on, receive)
+            await anyio.sleep(0.05)
+            await answer(send, status=503)
+
+        async def read_on(receive):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            ended.set()
+
+        async def scenario(fixture):
+            nonlocal tasks
+            async with anyio.create_task_group() as tasks:
+                stream = await fixture.open()
+                await stream.send(UPLOAD + b"half")
+                with anyio.fail_after(5):
+                    await ended.wait()
+                assert not fixture.shed
+                await stream.aclose()
+
+        tasks = None
+        run_with_server(app, scenario)
+
 
 class TestConnections:
     def test_connection_serves_several_requests(self):
