--- a/src/monsoonpass/runtime/metric_types.py
+++ b/src/monsoonpass/runtime/metric_types.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import math
@@ -129,10 +130,19 @@
 
 
 class GaugeValue:
-    """A value that rises and falls."""
+    """A value that rises and falls, or the result of a function."""
 
     def __init__(self) -> None:
         self.value = 0.0
+        self._function: Callable[[], float] | None = None
+
+    def read(self) -> float:
+        """Return the value."""
+        return self.value if self._function is None else self._function()
+
+    def set_function(self, function: Callable[[], float]) -> None:
+        """Set the function that returns the value."""
+        self._function = function
 
     def set(self, value: float) -> None:
         """Set the value."""
@@ -165,10 +175,14 @@
         """Subtract an amount from the value of a metric without labels."""
         self._values[()].dec(amount)
 
+    def set_function(self, function: Callable[[], float]) -> None:
+        """Set the function for the value of a metric without labels."""
+        self._values[()].set_function(function)
+
     def samples(self) -> list[Sample]:
         """Return the lines of this metric."""
         return [
-            (self.name, labels, value.value)
+            (self.name, labels, value.read())
             for labels, value in self._named_values()
         ]
 
--- a/tests/test_local_mesh.py
+++ b/tests/test_local_mesh.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from monsoonpass.runtime import http_server
 from monsoonpass.standin import local_mesh
 
 
@@ -51,14 +52,14 @@
 
         Guard: `group.start` in Daemon._start_http_servers.
         """
-        create_listener = anyio.create_tcp_listener
+        serve = http_server.Server.serve
 
-        async def create_listener_late(**options):
-            # As slow as resolving the address was on a busy machine.
+        async def serve_late(*args, **options):
+            # As late as on a busy machine.
             await anyio.sleep(0.1)
-            return await create_listener(**options)
+            await serve(*args, **options)
 
-        monkeypatch.setattr(anyio, "create_tcp_listener", create_listener_late)
+        monkeypatch.setattr(http_server.Server, "serve", serve_late)
         mesh = local_mesh.LocalMesh(
             specs=(local_mesh.NodeSpec(instance="n0"),),
             voters=("n0",),
--- a/tests/test_metric_types.py
+++ b/tests/test_metric_types.py
@@ -30,6 +30,8 @@
     for label, amount in counted:
         counter.labels(label, "x").inc(amount)
         plain.inc(amount)
+    open_now = library.Gauge("open", "Open now.", registry=registry)
+    open_now.set_function(lambda: level)
     gauge.set(level)
     gauge.inc()
     gauge.dec(0.25)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -40,7 +40,7 @@
         "retryBudgetSlack": 60,
         "budgetWindow": 10,
     },
-    "limits": {"linkMbps": 3.5},
+    "limits": {"linkMbps": 3.5, "memoryMb": 200},
     "service": "shop",
 }
 
@@ -96,6 +96,7 @@
         assert names.workspace == b"x-tenant"
         assert names.workspace_key == b"authorization"
         assert names.workspace_key_scheme == b"Token"
+        assert settings.limits.memory_mb == 200.0
 
     def test_missing_link_bandwidth_is_0_for_unknown(self):
         settings = settings_lib.parse(render({**FIELDS, "limits": None}))
