--- a/src/monsoonpass/cli/client.py
+++ b/src/monsoonpass/cli/client.py
@@ -1,6 +1,7 @@
 """HTTP client of the operator endpoint."""
 
 from typing import Any
+import urllib.parse
 
 import httpx
 import pydantic
@@ -93,11 +94,58 @@
         """
         return self._get("/v1/config", models.ConfigView)
 
-    def _get(self, path: str, model: type[pydantic.BaseModel]) -> Any:
+    def start_rollout(
+        self, service: str, target_version: str, duration_s: float
+    ) -> str:
+        """Order a rollout.
+
+        Args:
+            service: The service.
+            target_version: Version that its upstreams move to.
+            duration_s: Time until the rollout must be completed.
+
+        Returns:
+            A value of `OrderStatus`, "invalid" or "unauthorized"; "unconfirmed"
+            if the node did not answer.
+
+        Raises:
+            OperatorApiError: The connection to the node failed.
+        """
+        order = {
+            "service": service,
+            "target_version": target_version,
+            "duration_s": duration_s,
+        }
+        try:
+            response = self._http.post("/v1/rollouts", json=order)
+        except httpx.ConnectError as error:
+            raise errors.OperatorApiError(f"no connection: {error}") from error
+        except httpx.HTTPError:
+            return "unconfirmed"
+        return str(_json_object(response).get("status", "unconfirmed"))
+
+    def rollout(self, service: str) -> models.RolloutView | None:
+        """Return the newest rollout of a service, or None.
+
+        Raises:
+            OperatorApiError: The node did not answer as expected.
+        """
+        path = f"/v1/rollouts/{urllib.parse.quote(service, safe='')}"
+        return self._get(path, models.RolloutView, none_if_missing=True)
+
+    def _get(
+        self,
+        path: str,
+        model: type[pydantic.BaseModel],
+        *,
+        none_if_missing: bool = False,
+    ) -> Any:
         try:
             response = self._http.get(path)
         except httpx.HTTPError as error:
             raise errors.OperatorApiError(str(error) or repr(error)) from error
+        if none_if_missing and response.status_code == 404:
+            return None
         if response.status_code != 200:
             message = _json_object(response).get("message", response.text)
             raise errors.OperatorApiError(str(message))
--- a/src/monsoonpass/cli/tool.py
+++ b/src/monsoonpass/cli/tool.py
@@ -7,6 +7,9 @@
   monsoonpass watch                 repeat `status` at an interval
   monsoonpass diff FILE             what FILE would change
   monsoonpass explain "GET SERVICE/PATH"   which route such a call takes
+  monsoonpass rollout start SERVICE VERSION SECONDS
+                                    move a service to upstreams of VERSION
+  monsoonpass rollout show SERVICE  state of the service's newest rollout
   monsoonpass demo                  a small mesh in one process
 
 Common flags: --node ADDRESS of a node's operator endpoint, --token_file FILE,
@@ -46,6 +49,8 @@
 EXIT_BY_STATUS = {
     "accepted": EXIT_OK,
     "superseded": EXIT_OK,
+    "ordered": EXIT_OK,
+    "repeated": EXIT_OK,
     "unavailable": EXIT_UNAVAILABLE,
     "busy": EXIT_UNAVAILABLE,
     "unconfirmed": EXIT_UNCONFIRMED,
@@ -82,15 +87,18 @@
         "watch": (_watch, 0),
         "diff": (_diff, 1),
         "explain": (_explain, 1),
+        "rollout start": (_rollout_start, 3),
+        "rollout show": (_rollout_show, 1),
         "demo": (_demo, 0),
     }
-    command = arguments[1] if len(arguments) > 1 else ""
+    words = 2 if arguments[1:2] == ["rollout"] else 1
+    command = " ".join(arguments[1 : words + 1])
     handler, arguments_count = handlers.get(command, (None, 0))
-    if handler is None or len(arguments) - 2 != arguments_count:
+    if handler is None or len(arguments) - words - 1 != arguments_count:
         print(__doc__, file=sys.stderr)
         return EXIT_USAGE
     try:
-        return handler(*arguments[2:])
+        return handler(*arguments[words + 1 :])
     except errors.OperatorApiError as error:
         print(f"monsoonpass: {_NODE.value}: {error}", file=sys.stderr)
         return EXIT_UNAVAILABLE
@@ -222,6 +230,31 @@
     return EXIT_OK
 
 
+def _rollout_start(service: str, version: str, seconds: str) -> int:
+    try:
+        duration_s = float(seconds)
+    except ValueError:
+        print(f"monsoonpass: {seconds} is no number", file=sys.stderr)
+        return EXIT_USAGE
+    with _client() as client:
+        status = client.start_rollout(service, version, duration_s)
+    _print({"status": status}, f"rollout of {service} to {version}: {status}")
+    return EXIT_BY_STATUS.get(status, EXIT_REFUSED)
+
+
+def _rollout_show(service: str) -> int:
+    with _client() as client:
+        rollout = client.rollout(service)
+    if rollout is None:
+        _print({"state": None}, f"{service}: no rollout was ordered")
+        return EXIT_REFUSED
+    _print(
+        rollout.model_dump(),
+        f"{service}: rollout to {rollout.target_version} {rollout.state}",
+    )
+    return EXIT_OK
+
+
 def _demo() -> int:
     return demo.run()
 
--- a/src/monsoonpass/core/agreement/control_group.py
+++ b/src/monsoonpass/core/agreement/control_group.py
@@ -26,6 +26,9 @@
 from monsoonpass.core.distribution import version_distribution
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import notice_storage
+from monsoonpass.core.rollouts import leader as rollout_leader
+from monsoonpass.core.rollouts import requests as rollout_requests
+from monsoonpass.core.rollouts import rollout_messages
 
 MAINTENANCE_INTERVAL_S = 0.5
 
@@ -82,20 +85,25 @@
         return []
     result: list[effects.Effect] = []
     for notice in replica.take_notices():
+        result += rollout_requests.handle_notice(state, notice)
         if isinstance(notice, replica_lib.Applied):
             result += submission.handle_applied(state, event, notice)
             result += keyed_calls.handle_applied(state, notice)
             result += notice_storage.handle_applied(state, notice)
+            result += rollout_leader.handle_applied(state, event, notice)
         elif isinstance(notice, replica_lib.Restored):
             result += version_distribution.install_restored(state, event)
+            result += rollout_leader.learn_stored(state, event)
         elif isinstance(notice, replica_lib.ReadReady):
-            result.append(_read_reply(state, notice.token, confirmed=True))
+            if isinstance(notice.token, ReadToken):
+                result.append(_read_reply(state, notice.token, confirmed=True))
         elif isinstance(notice.token, submission.QueuedSubmission):
             result += submission.handle_dropped(state, event, notice.token)
         elif isinstance(notice.token, ReadToken):
             result.append(_read_reply(state, notice.token, confirmed=False))
     result += linearizable_read.answer_ready_reads(state, event)
     result += _answer_waiting_reads(state, event)
+    result += rollout_leader.arm(state, event)
     if replica_lib.needs_compaction(replica):
         result.append(checkpoint_write(state))
     return result
@@ -242,6 +250,16 @@
     return result + handle_replica_notices(state, event)
 
 
+@step.handle_message.register
+def _(
+    message: rollout_messages.RolloutRead,
+    event: events.PeerMessage,
+    state: node.Node,
+) -> list[effects.Effect]:
+    result = rollout_requests.start_read(state, event, message)
+    return result + handle_replica_notices(state, event)
+
+
 def _answer_waiting_reads(
     state: node.Node, event: events.Event
 ) -> list[effects.Effect]:
--- a/src/monsoonpass/core/agreement/control_state_machine.py
+++ b/src/monsoonpass/core/agreement/control_state_machine.py
@@ -10,6 +10,7 @@
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.keys import ledger
 from monsoonpass.core.membership import stored_notices
+from monsoonpass.core.rollouts import rollout as rollout_lib
 
 RECENT_VERSIONS_MAX = 1000
 
@@ -55,8 +56,20 @@
     notices: tuple[stored_notices.InstanceNotices, ...] = ()
 
 
+@codec.register(142)
+@immutable.dataclass
+class StateWithRollouts:
+    """Serialized form of a state with rollouts.
+
+    A state without any is stored as a `MachineState`, as by earlier builds.
+    """
+
+    state: MachineState
+    rollouts: tuple[rollout_lib.Rollout, ...]
+
+
 class ControlStateMachine:
-    """The replicated state: configuration, idempotency keys, notices.
+    """The replicated state: configuration, keys, notices and rollouts.
 
     Attributes:
         catalog: The last accepted configuration.
@@ -64,6 +77,7 @@
             `RECENT_VERSIONS_MAX`.
         ledger: The idempotency keys.
         notices: Notices of leaving of upstreams.
+        rollouts: The newest rollout of each service.
     """
 
     def __init__(self) -> None:
@@ -73,6 +87,7 @@
         )
         self.ledger = ledger.Ledger()
         self.notices = stored_notices.StoredNotices()
+        self.rollouts = rollout_lib.StoredRollouts()
 
     def apply(self, command: bytes) -> Any:
         """Apply a committed command deterministically and return its result."""
@@ -102,7 +117,10 @@
             keys=self.ledger.records(),
             notices=self.notices.records(),
         )
-        return codec.encode(state)
+        rollouts = self.rollouts.records()
+        if not rollouts:
+            return codec.encode(state)
+        return codec.encode(StateWithRollouts(state=state, rollouts=rollouts))
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state."""
@@ -111,8 +129,13 @@
             self.catalog = catalog_lib.EMPTY_CATALOG
             self.ledger.restore(())
             self.notices.restore(())
+            self.rollouts.restore(())
             return
         state = codec.decode(data)
+        rollouts: tuple[rollout_lib.Rollout, ...] = ()
+        if isinstance(state, StateWithRollouts):
+            state, rollouts = state.state, state.rollouts
+        self.rollouts.restore(rollouts)
         self.catalog = catalog_lib.from_snapshot(state.snapshot)
         self.recent.extend(state.recent)
         self.ledger.restore(state.keys)
@@ -151,3 +174,18 @@
     command: stored_notices.RecordNotice, state_machine: ControlStateMachine
 ) -> Any:
     return state_machine.notices.record(command)
+
+
+@_apply.register
+def _(
+    command: rollout_lib.StartRollout, state_machine: ControlStateMachine
+) -> Any:
+    is_known = command.service in state_machine.catalog.services
+    return state_machine.rollouts.start(command, is_known_service=is_known)
+
+
+@_apply.register
+def _(
+    command: rollout_lib.AdvanceRollout, state_machine: ControlStateMachine
+) -> Any:
+    return state_machine.rollouts.advance(command)
--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -128,6 +128,10 @@
             return
         self._slots.announce(slots, cold=cold, cold_s=cold_s, now_s=now_s)
 
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the upstream is still warming up."""
+        return self._slots.is_cold(now_s)
+
     def has_free_slot(self, now_s: float) -> bool:
         """Return whether a short reroutable call would be dispatched now."""
         return (
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -21,6 +21,7 @@
 from monsoonpass.core.calls import stop_fit
 from monsoonpass.core.keys import keyed_calls
 from monsoonpass.core.membership import directory
+from monsoonpass.core.rollouts import version_choice
 
 # Limit per call. Unlike the limit of the route, it includes attempts that were
 # refused before they reached an upstream, which are most of them.
@@ -191,6 +192,7 @@
 ) -> list[effects.Effect]:
     """Retry a call if that is safe and useful, else end it with a failure."""
     call.tried.add(attempt.instance)
+    version_choice.record_refusal(state, call, attempt, failure)
     may_have_run = failure.outcome is not call_lib.NOT_RUN
     call.may_have_run = call.may_have_run or may_have_run
     reached_upstream = may_have_run or failure.reason is Reason.UPSTREAM_SHED
@@ -263,6 +265,7 @@
 ) -> list[effects.Effect]:
     """Remove an answered call and cancel its other attempts."""
     del state.calls[call.call_id]
+    version_choice.record_answer(state, event, call.service)
     return [
         *cancel_others(state, event, call, number),
         *cancel_timers(call),
--- a/src/monsoonpass/core/calls/call_handlers.py
+++ b/src/monsoonpass/core/calls/call_handlers.py
@@ -23,6 +23,8 @@
 from monsoonpass.core.keys import ledger
 from monsoonpass.core.membership import directory
 from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.rollouts import knowledge as rollout_knowledge
+from monsoonpass.core.rollouts import owner as rollout_owner
 
 Reason = outcome.Reason
 
@@ -74,6 +76,7 @@
     result: list[effects.Effect] = [
         effects.SetTimer(timer=timer, delay_s=timeout_s),
         *directory.refresh_endpoints(state, event, service),
+        *rollout_knowledge.refresh(state, event, service),
     ]
     if event.key is None or route.idempotent:
         return result + _start_call(state, event, call)
@@ -248,6 +251,7 @@
     event: events.OwnerCallFinished, state: node.Node
 ) -> list[effects.Effect]:
     owner_call = state.admission.in_progress.get(event.owner_call_id)
+    rollout_owner.record_finished(state, event, owner_call)
     decision = state.admission.finish(
         event.owner_call_id,
         service_time_s=event.service_time_s,
@@ -313,6 +317,9 @@
     if event.service != state.admission.service:
         refusal = call_lib.not_run_failure(Reason.NO_UPSTREAM, None)
         return [attempts.refuse_peer_call(event.owner_call_id, refusal)]
+    if rollout_owner.refuses_calls(state, event.now_s):
+        refusal = call_lib.not_run_failure(Reason.DRAINING, None)
+        return [attempts.refuse_peer_call(event.owner_call_id, refusal)]
     decision = state.admission.offer(call, event.now_s)
     return attempts.apply_decision(state, event, decision)
 
--- a/src/monsoonpass/core/calls/hedging.py
+++ b/src/monsoonpass/core/calls/hedging.py
@@ -16,11 +16,15 @@
 from monsoonpass.core.calls import call as call_lib
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import routing
+from monsoonpass.core.rollouts import version_choice
 
 HEDGE_MIN_S = 0.005  # Shortest hedge delay.
 SILENCE_MIN_S = 0.05  # Shortest silence; a queue at the upstream takes longer.
 SAMPLES_MIN = 50  # Latencies of a route needed before it is hedged.
 HEDGE_FACTOR = 2.0  # Hedge delay, as a multiple of the median latency.
+# A hedge cuts off the attempt that it overtakes. An attempt that measures a new
+# version goes on until it is surely slow (`evidence.SLOW_FACTOR`).
+CANARY_HEDGE_FACTOR = 6.0
 
 
 def arm(state: node.Node, call: call_lib.Call) -> list[effects.Effect]:
@@ -30,7 +34,13 @@
     median = state.routing.median(call.statistics_key)
     if median.count < SAMPLES_MIN or call.call_id not in state.calls:
         return []
-    delay_s = max(median.value_s * HEDGE_FACTOR, HEDGE_MIN_S)
+    factor = HEDGE_FACTOR
+    if any(
+        version_choice.is_canary(state, call.service, attempt.instance)
+        for attempt in call.attempts.values()
+    ):
+        factor = CANARY_HEDGE_FACTOR
+    delay_s = max(median.value_s * factor, HEDGE_MIN_S)
     return [_timer(call, delay_s)]
 
 
--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -10,6 +10,7 @@
 from monsoonpass.core import seeded_random
 from monsoonpass.core.calls import routing_table
 from monsoonpass.core.membership import member as member_lib
+from monsoonpass.core.rollouts import version_choice
 
 HOP_COST_S = 0.002  # Latency added by the hop to another node.
 SAME_REGION_RTT_S = 0.001  # Assumed round trip within a region until measured.
@@ -67,10 +68,33 @@
     Returns:
         The candidate, or None if no instance is worth an attempt.
     """
+    versions = version_choice.choose(state, event, service, tried)
+    if versions.target is not None:
+        choice = _choose_instance(
+            state, event, service, tried, objective_s, versions.target
+        )
+        # Without a free slot at the target, the call is no measure of it.
+        if choice is not None and choice.reroutable:
+            version_choice.record_sent_to_target(state, service)
+            return choice
+    return _choose_instance(
+        state, event, service, tried, objective_s, versions.regular
+    )
+
+
+def _choose_instance(
+    state: node.Node,
+    event: events.Event,
+    service: str,
+    tried: set[str],
+    objective_s: float,
+    versions: version_choice.VersionFilter,
+) -> Candidate | None:
+    """Choose an instance among those of some versions, as `choose`."""
     rng = seeded_random.SeededRandom(bits=event.random_bits)
     now_s = event.now_s
     near_tiers, far_candidates = _candidates_by_distance(
-        state, event, service, tried
+        state, event, service, tried, versions
     )
     for tier in near_tiers:
         best = _best_of_two(
@@ -101,7 +125,8 @@
     state: node.Node, event: events.Event, service: str, instance: str
 ) -> Candidate | None:
     """Return an instance of a service if it may be sent calls, else None."""
-    for candidate, _ in _members(state, event, service, set()):
+    versions = version_choice.choose(state, event, service, {instance}).regular
+    for candidate, _ in _members(state, event, service, set(), versions):
         if candidate.instance == instance:
             return candidate
     return None
@@ -122,7 +147,11 @@
 
 
 def _candidates_by_distance(
-    state: node.Node, event: events.Event, service: str, tried: set[str]
+    state: node.Node,
+    event: events.Event,
+    service: str,
+    tried: set[str],
+    versions: version_choice.VersionFilter,
 ) -> tuple[list[list[Candidate]], list[Candidate]]:
     """Return the candidates of the own region by distance, and all others.
 
@@ -135,19 +164,22 @@
     """
     settings = state.settings
     tiers: list[list[Candidate]] = [[], [], []]
-    for candidate, member in _members(state, event, service, tried):
+    for candidate, member in _members(state, event, service, tried, versions):
         if member.data_centre == settings.data_centre:
             tiers[0].append(candidate)
         elif member.region == settings.region:
             tiers[1].append(candidate)
         else:
             tiers[2].append(candidate)
-    tiers[2] += remote_candidates(state, service, tried)
+    tiers[2] += remote_candidates(state, service, tried, versions)
     return tiers[:2], tiers[2]
 
 
 def remote_candidates(
-    state: node.Node, service: str, tried: set[str]
+    state: node.Node,
+    service: str,
+    tried: set[str],
+    versions: version_choice.VersionFilter = version_choice.ALL_VERSIONS,
 ) -> list[Candidate]:
     """Return the instances of a service in other data centres."""
     result = []
@@ -156,13 +188,17 @@
         # Assumes 20 ms until the round trip is measured.
         rtt_s = state.directory.rtt_s.get(data_centre, 0.02)
         for member in endpoints.members:
-            if member.instance not in tried:
+            if member.instance not in tried and versions.accepts(member):
                 result.append(Candidate(address=member.address, rtt_s=rtt_s))
     return result
 
 
 def _members(
-    state: node.Node, event: events.Event, service: str, tried: set[str]
+    state: node.Node,
+    event: events.Event,
+    service: str,
+    tried: set[str],
+    versions: version_choice.VersionFilter,
 ) -> list[tuple[Candidate, member_lib.Member]]:
     """Return the members that accept calls of a service and are not ejected."""
     members = state.membership.table.by_service.get(service, {})
@@ -170,6 +206,8 @@
     for member in members.values():
         if member.instance in tried or not member.upstream.accepts_calls:
             continue
+        if not versions.accepts(member):
+            continue
         rtt_s = _expected_rtt_s(state, member)
         candidate = Candidate(address=member.address, rtt_s=rtt_s)
         usable.append((candidate, member))
--- a/src/monsoonpass/core/calls/slots.py
+++ b/src/monsoonpass/core/calls/slots.py
@@ -57,6 +57,10 @@
             return 0
         return max(int(min(self.announced, self._limit)), 1)
 
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the upstream is still slow after its start."""
+        return now_s - self._cold_since_s < self._slow_start_s
+
     def reroutable_limit(self, now_s: float) -> int:
         """Return the number of slots for calls that other instances may serve.
 
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -20,6 +20,7 @@
 from monsoonpass.core.distribution import linearizable_read
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.membership import own_upstream
+from monsoonpass.core.rollouts import knowledge as rollout_knowledge
 
 RETRY_BASE_S = 0.2  # Shorter than an election after all voters restart.
 # Nodes that are notified of the next leader; further nodes retry on a timer.
@@ -56,6 +57,7 @@
                 fields={"version": config.version},
             )
         )
+    result += rollout_knowledge.learn_at_start(state, event, message.rollouts)
     result += own_upstream.merge_durable_notices(state, event, message.notices)
     if config.ready:
         result.append(effects.CancelTimer(timer=timers.ColdStartRetry()))
@@ -211,5 +213,8 @@
         voters=voter_lookup.known_voters(state),
         read_id=read_id,
         notices=notices if confirmed and not read_id else (),
+        rollouts=(
+            state_machine.rollouts.recent() if confirmed and not read_id else ()
+        ),
     )
     return effects.Send(to=requester, message=message)
--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -7,6 +7,7 @@
 from monsoonpass.core import address as address_lib
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.membership import leave_notice as notice_lib
+from monsoonpass.core.rollouts import rollout as rollout_lib
 
 
 class SubmitStatus(enum.StrEnum):
@@ -175,6 +176,7 @@
         read_id: Copied from the request.
         notices: If confirmed, the stored notices of leaving from the
             receiver's upstreams.
+        rollouts: If confirmed, the rollouts that are running or ended lately.
     """
 
     confirmed: bool
@@ -183,6 +185,7 @@
     voters: tuple[address_lib.Address, ...]
     read_id: int = 0
     notices: tuple[notice_lib.LeaveNotice, ...] = ()
+    rollouts: tuple[rollout_lib.Rollout, ...] = ()
 
 
 @codec.register(48)
--- a/src/monsoonpass/core/events.py
+++ b/src/monsoonpass/core/events.py
@@ -102,6 +102,31 @@
     request_id: int
 
 
+@immutable.dataclass
+class RolloutRequested(Event):
+    """An operator ordered a rollout.
+
+    Attributes:
+        request_id: Number of the request.
+        service: The service.
+        target_version: Version that its upstreams move to.
+        duration_s: Time until the rollout must be completed.
+    """
+
+    request_id: int
+    service: str
+    target_version: str
+    duration_s: float
+
+
+@immutable.dataclass
+class RolloutReadRequested(Event):
+    """An operator requested the state of a service's newest rollout."""
+
+    request_id: int
+    service: str
+
+
 @immutable.dataclass
 class UpstreamAnnounced(Event):
     """The upstream of this instance announced itself.
@@ -119,6 +144,7 @@
         sequence: Increases with each announcement of one start; None if
             omitted.
         request_id: Number of the request to answer, or 0.
+        version: Software version of the upstream; empty if omitted.
     """
 
     service: str
@@ -131,6 +157,7 @@
     started_ms: int | None = None
     sequence: int | None = None
     request_id: int = 0
+    version: str = ""
 
 
 @immutable.dataclass
@@ -245,6 +272,7 @@
         shed: Whether the upstream itself refused the call because of load.
         silent: Whether the call was sent, and ended without any answer while
             its connection was still open.
+        status: HTTP status of the upstream's answer; 0 without one.
     """
 
     owner_call_id: int
@@ -252,6 +280,7 @@
     failure: outcome.Failure | None
     shed: bool = False
     silent: bool = False
+    status: int = 0
 
 
 @immutable.dataclass
--- a/src/monsoonpass/core/log_events.py
+++ b/src/monsoonpass/core/log_events.py
@@ -112,6 +112,28 @@
         "warning",
         "The control group has not stored a notice of leaving in time.",
     )
+    ROLLOUT_ORDERED = (600, "info", "A rollout of a service was ordered.")
+    ROLLOUT_STEP = (
+        601,
+        "info",
+        "A rollout's share or its canaries changed.",
+    )
+    ROLLOUT_PROMOTED = (
+        602,
+        "info",
+        "The target of a rollout was found good; its share grows.",
+    )
+    ROLLOUT_COMPLETED = (
+        603,
+        "info",
+        "A rollout is completed: no call is left at other versions.",
+    )
+    ROLLOUT_ROLLED_BACK = (
+        604,
+        "warning",
+        "A rollout was rolled back: its target was bad, or not proven in time.",
+    )
+    ROLLOUT_REFUSED = (605, "warning", "An order of a rollout was refused.")
     CALL_FAILED = (510, "warning", "A call was answered with a failure.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/monsoonpass/core/membership/member.py
+++ b/src/monsoonpass/core/membership/member.py
@@ -49,6 +49,7 @@
         region: Region of the data centre.
         last_notice: Last notice of leaving from an upstream of the node, or
             None.
+        version: Software version of the upstream; empty if not announced.
     """
 
     address: address_lib.Address
@@ -61,6 +62,7 @@
     upstream: UpstreamState
     region: str = ""
     last_notice: notice_lib.LeaveNotice | None = None
+    version: str = ""
 
     @property
     def instance(self) -> str:
--- a/src/monsoonpass/core/membership/member_table.py
+++ b/src/monsoonpass/core/membership/member_table.py
@@ -18,6 +18,7 @@
 
     Attributes:
         by_service: Present members by service, then by instance.
+        versions: Number of present members by service, then by version.
         present_count: Number of members that are alive or suspected.
         suspect_count: Number of members that are suspected.
         present_by_data_centre: Number of present members by data centre.
@@ -31,6 +32,7 @@
         self._absent_since_s: dict[str, float] = {}
         self._buckets = [0] * BUCKETS
         self.by_service: dict[str, dict[str, member_lib.Member]] = {}
+        self.versions: dict[str, dict[str, int]] = {}
 
     def get(self, instance: str) -> member_lib.Member | None:
         """Return a record by instance name, or None."""
@@ -108,6 +110,11 @@
             group[member.instance] = member
         else:
             group.pop(member.instance, None)
+        versions = self.versions.setdefault(member.service, {})
+        count = versions.get(member.version, 0) + step
+        versions[member.version] = count
+        if not count:
+            del versions[member.version]
 
 
 def rank(instance: str, salt: str) -> int:
--- a/src/monsoonpass/core/membership/upstream_transition.py
+++ b/src/monsoonpass/core/membership/upstream_transition.py
@@ -137,8 +137,9 @@
     upstream.is_new_process = False
     own = state.membership.own_record
     ready = member_lib.UpstreamState.READY
-    current = (own.service, own.slots, own.upstream)
-    if current == (announced.service, announced.slots, ready):
+    current = (own.service, own.slots, own.upstream, own.version)
+    wanted = (announced.service, announced.slots, ready, announced.version)
+    if current == wanted:
         return []
     log = announcement_log(
         log_events.Code.UPSTREAM_ANNOUNCED,
@@ -155,6 +156,7 @@
             service=announced.service,
             slots=announced.slots,
             upstream=ready,
+            version=announced.version,
         ),
         *gossip.send_updates_now(state, event),
         *attempts.apply_decision(state, event, refused),
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -16,6 +16,7 @@
 from monsoonpass.core.membership import member as member_lib
 from monsoonpass.core.membership import member_table
 from monsoonpass.core.membership import own_upstream_state as upstream_lib
+from monsoonpass.core.rollouts import rollout_state
 
 
 @immutable.dataclass
@@ -61,6 +62,10 @@
             nodes.
         silence_s: Silence after which an announced upstream is withdrawn;
             0 for upstreams that announce themselves only once.
+        exposed_share: Share of a service's calls that a rollout's target may
+            get before the verdict.
+        exposed_slack: Calls that it may get in addition, over all nodes.
+        rollback_s: Time from the bad answers of a version to its last call.
     """
 
     address: address_lib.Address
@@ -81,6 +86,9 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     silence_s: float = 0.0
+    exposed_share: float = 0.1
+    exposed_slack: float = 50.0
+    rollback_s: float = 5.0
 
     def covers(self, data_centre: str) -> bool:
         """Return whether the member table includes a data centre."""
@@ -367,6 +375,7 @@
         upstream: The process that is the own upstream, and its phase.
         admission: Slots and queue of the own upstream.
         routing: Load, latency and failures observed for each upstream.
+        rollouts: Rollouts, as far as this node knows or leads them.
         calls: Calls in progress through this node, by call id.
         keyed_calls: Claims of calls with an idempotency key, by call id.
         abandoned_claims: Claims whose calls ended without running, by call id.
@@ -397,6 +406,9 @@
     routing: routing_table.RoutingTable = dataclasses.field(
         default_factory=routing_table.RoutingTable
     )
+    rollouts: rollout_state.RolloutState = dataclasses.field(
+        default_factory=rollout_state.RolloutState
+    )
     calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     keyed_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     abandoned_claims: dict[int, Any] = dataclasses.field(default_factory=dict)
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -25,9 +25,14 @@
 from monsoonpass.core.membership import membership
 from monsoonpass.core.membership import own_upstream
 from monsoonpass.core.membership import sync_request
+from monsoonpass.core.rollouts import leader as _rollout_leader
+from monsoonpass.core.rollouts import owner as _rollout_owner
+from monsoonpass.core.rollouts import requests as _rollout_requests
 
 assert _call_handlers  # Imported for its registrations.
 assert _survey  # Imported for its registrations.
+# Imported for their registrations.
+assert _rollout_leader and _rollout_owner and _rollout_requests
 
 DRAIN_CHECK_INTERVAL_S = 0.05
 # Time for peers to receive the failures of calls that a stop has given up.
--- /dev/null
+++ b/src/monsoonpass/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: moving a service's traffic to a new version of its upstreams."""
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -162,6 +162,23 @@
     """The upstream is due to be shown as draining during a planned stop."""
 
 
+@immutable.dataclass
+class RolloutPlanDue(Timer):
+    """The leader is due to decide about the running rollouts."""
+
+
+@immutable.dataclass
+class RolloutReportDue(Timer):
+    """A report on the own upstream is due to the leader of a rollout."""
+
+
+@immutable.dataclass
+class RolloutRequestRetry(Timer):
+    """An order or read of an operator was not answered in time."""
+
+    request_id: int
+
+
 @immutable.dataclass
 class UpstreamSilenceTimeout(Timer):
     """The own upstream may have been silent for too long."""
--- a/src/monsoonpass/formats/bounds.py
+++ b/src/monsoonpass/formats/bounds.py
@@ -12,6 +12,8 @@
 WEIGHT_MAX = 1e9
 TIME_MAX_S = 24 * 3600.0
 NAME_MAX_CHARS = 256
+# Datagrams carry up to eight member records, each with a version.
+VERSION_MAX_CHARS = 64
 DECIMAL_DIGITS_MAX = 16  # Digits of `INTEGER_MAX`.
 
 Count = Annotated[int, pydantic.Field(ge=0, le=INTEGER_MAX)]
@@ -19,6 +21,9 @@
 Name = Annotated[
     str, pydantic.StringConstraints(min_length=1, max_length=NAME_MAX_CHARS)
 ]
+Version = Annotated[
+    str, pydantic.StringConstraints(max_length=VERSION_MAX_CHARS)
+]
 
 
 def parse_decimal(text: bytes) -> int | None:
--- a/src/monsoonpass/formats/operator_models.py
+++ b/src/monsoonpass/formats/operator_models.py
@@ -8,6 +8,7 @@
 
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.distribution import survey
+from monsoonpass.core.rollouts import rollout as rollout_lib
 from monsoonpass.formats import bounds
 from monsoonpass.formats import settings_sections
 
@@ -43,6 +44,7 @@
         cold_s: Remaining time of its slow phase after the start.
         sequence: Number that increases with each heartbeat of one start.
         born: Its start time, in milliseconds of Unix time, or None.
+        version: Its software version, or None.
     """
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
@@ -56,6 +58,7 @@
     ] = 0.0
     sequence: bounds.Count
     born: bounds.PositiveInteger | None = None
+    version: bounds.Version | None = None
 
     @classmethod
     def parse(cls, name: str, data: bytes) -> "Heartbeat":
@@ -128,6 +131,57 @@
         raise ValueError(f"name: over {bounds.NAME_MAX_CHARS} characters")
 
 
+class RolloutOrder(pydantic.BaseModel):
+    """An order of a rollout.
+
+    Attributes:
+        service: The service.
+        target_version: Version that its upstreams move to.
+        duration_s: Time until the rollout must be completed.
+    """
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    service: bounds.Name
+    target_version: Annotated[
+        str,
+        pydantic.StringConstraints(
+            min_length=1, max_length=bounds.VERSION_MAX_CHARS
+        ),
+    ]
+    duration_s: Annotated[
+        float,
+        pydantic.Field(
+            gt=0, le=bounds.TIME_MAX_S, allow_inf_nan=False, strict=False
+        ),
+    ]
+
+    @classmethod
+    def parse(cls, data: bytes) -> "RolloutOrder":
+        """Validate an order.
+
+        Raises:
+            ValueError: A field is missing or not valid.
+        """
+        return _validate_json(cls, data)
+
+
+class RolloutView(_Model):
+    """The newest rollout of a service."""
+
+    state: Literal["running", "completed", "rolled_back"]
+    target_version: str
+
+    @classmethod
+    def of(cls, rollout: rollout_lib.Rollout) -> "RolloutView":
+        """Return the view of a rollout."""
+        phase = rollout.phase
+        return cls(
+            state=phase.value if phase.is_ended else "running",
+            target_version=rollout.target_version,
+        )
+
+
 class SubmitResult(_Model):
     """The outcome of a submission."""
 
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -29,6 +29,7 @@
     limits: sections.LimitsSection = sections.LimitsSection()
     telemetry: sections.TelemetrySection = sections.TelemetrySection()
     retries: sections.RetriesSection = sections.RetriesSection()
+    rollouts: sections.RolloutsSection = sections.RolloutsSection()
     headers: sections.HeadersSection = sections.HeadersSection()
 
     @property
@@ -106,6 +107,9 @@
             retry_ratio=self.retries.ratio,
             retry_slack=self.retries.slack,
             silence_s=self.upstream.silence_s,
+            exposed_share=self.rollouts.exposed_share,
+            exposed_slack=self.rollouts.exposed_slack,
+            rollback_s=self.rollouts.rollback_s,
         )
 
 
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -225,6 +225,20 @@
     slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 20.0
 
 
+class RolloutsSection(Section):
+    """[rollouts]: what a new version may cost before its verdict.
+
+    Attributes:
+        exposed_share: Share of a service's calls that the version may get.
+        exposed_slack: Calls that it may get in addition, over all nodes.
+        rollback_s: Time from a bad version's bad answers to its last call.
+    """
+
+    exposed_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
+    exposed_slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 50.0
+    rollback_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 5.0
+
+
 class HeadersSection(Section):
     """[headers]: names of the HTTP headers; see `HeaderNames`.
 
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of one node."""
 
+from collections.abc import Iterable
+
 import prometheus_client
 
+from monsoonpass.core.rollouts import rollout_state
+
 LATENCY_BUCKETS_S = (
     0.0005,
     0.001,
@@ -46,6 +50,9 @@
         peer_message_bytes: Bytes sent to peers, by type of message and by
             distance.
         disk_sync_duration: Time to write and sync a batch of journal records.
+        rollout_share: Share of a service's calls that its newest rollout gives
+            to the target, as far as this node knows.
+        rollout_phase: 1 for the phase of a service's newest rollout.
         confined_failures: Unexpected errors that did not end the node, by the
             effect or component that failed.
     """
@@ -116,6 +123,18 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.rollout_share = prometheus_client.Gauge(
+            "monsoonpass_rollout_share",
+            "Share of a service's calls that go to the rollout's target.",
+            ["service"],
+            registry=registry,
+        )
+        self.rollout_phase = prometheus_client.Gauge(
+            "monsoonpass_rollout_phase",
+            "1 for the phase of a service's newest rollout.",
+            ["service", "phase"],
+            registry=registry,
+        )
         self.confined_failures = prometheus_client.Counter(
             "monsoonpass_confined_failures",
             "Unexpected errors that did not end the node.",
@@ -123,6 +142,16 @@
             registry=registry,
         )
 
+    def set_rollouts(self, known: Iterable[rollout_state.KnownRollout]) -> None:
+        """Set the metrics of the rollouts that the node knows."""
+        self.rollout_phase.clear()
+        self.rollout_share.clear()
+        for item in known:
+            rollout = item.rollout
+            self.rollout_share.labels(rollout.service).set(rollout.share)
+            phase = rollout.phase.value
+            self.rollout_phase.labels(rollout.service, phase).set(1)
+
     def render(self) -> bytes:
         """Return the registry in Prometheus's text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/monsoonpass/runtime/operator_api.py
+++ b/src/monsoonpass/runtime/operator_api.py
@@ -22,6 +22,8 @@
 from monsoonpass.core.distribution import submission
 from monsoonpass.core.distribution import survey
 from monsoonpass.core.membership import own_upstream_state
+from monsoonpass.core.rollouts import requests as rollout_requests
+from monsoonpass.core.rollouts import rollout as rollout_lib
 from monsoonpass.formats import bounds
 from monsoonpass.formats import operator_document
 from monsoonpass.formats import operator_models as models
@@ -39,6 +41,7 @@
 REPLY_TIMEOUT_S = 10.0
 PENDING_REQUESTS_MAX = 256
 UPSTREAMS_PATH = "/v1/upstreams/"
+ROLLOUTS_PATH = "/v1/rollouts/"
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -56,6 +59,14 @@
     Status.UNCONFIRMED: 504,
 }
 
+ROLLOUT_STATUS_CODES = {
+    rollout_lib.OrderStatus.ORDERED: 200,
+    rollout_lib.OrderStatus.REPEATED: 200,
+    rollout_lib.OrderStatus.CONFLICT: 409,
+    rollout_lib.OrderStatus.UNKNOWN_SERVICE: 400,
+    rollout_lib.OrderStatus.UNAVAILABLE: 503,
+}
+
 
 class Response(Exception):  # noqa: N818
     """An HTTP response; a handler may return it or raise it."""
@@ -115,6 +126,7 @@
             ("GET", "/v1/config/newest"): self._get_newest_config,
             ("GET", "/v1/status"): self._get_status,
             ("GET", "/v1/node"): self._get_node,
+            ("POST", "/v1/rollouts"): self._order_rollout,
             ("POST", "/v1/upstream"): self._announce_upstream,
             ("DELETE", "/v1/upstream"): self._drain_upstream,
             ("GET", "/metrics"): self._get_metrics,
@@ -155,6 +167,8 @@
                 "PUT": self._receive_heartbeat,
                 "DELETE": self._receive_deregistration,
             }.get(method)
+        if handler is None and method == "GET" and _rollout_service(scope):
+            handler = self._get_rollout
         if handler is None:
             raise _error_response(404, "not-found", "no such endpoint")
         body = await _read_body(receive)
@@ -234,6 +248,44 @@
             )
         return Response(200, operator_document.render(result))
 
+    async def _order_rollout(
+        self, scope: dict[str, Any], body: bytes
+    ) -> Response:
+        """Order a rollout; 200 says that the order is durable."""
+        self._check_token(scope)
+        try:
+            order = models.RolloutOrder.parse(body)
+        except ValueError as error:
+            raise _error_response(400, "invalid", str(error)) from error
+        status = await self._feed_and_wait(
+            events.RolloutRequested,
+            service=order.service,
+            target_version=order.target_version,
+            duration_s=order.duration_s,
+        )
+        content = json.dumps({"status": str(status)})
+        return Response(ROLLOUT_STATUS_CODES[status], content.encode())
+
+    async def _get_rollout(
+        self, scope: dict[str, Any], body: bytes
+    ) -> Response:
+        """Return the newest rollout of a service.
+
+        The answer has status 503 if no quorum confirms it.
+        """
+        self._check_token(scope)
+        result = await self._feed_and_wait(
+            events.RolloutReadRequested, service=_rollout_service(scope)
+        )
+        if isinstance(result, rollout_requests.RolloutUnavailable):
+            raise _error_response(
+                503, "unavailable", "no quorum confirms the rollout"
+            )
+        if result.rollout is None:
+            raise _error_response(404, "not-found", "no rollout was ordered")
+        view = models.RolloutView.of(result.rollout)
+        return Response(200, view.model_dump_json().encode())
+
     async def _get_config(self, scope: dict[str, Any], body: bytes) -> Response:
         """Return the configuration in force at this node."""
         self._check_token(scope)
@@ -339,6 +391,7 @@
             upstream_id=_upstream_name(scope),
             started_ms=heartbeat.born,
             sequence=heartbeat.sequence,
+            version=heartbeat.version or "",
         )
         return Response(200, b"{}")
 
@@ -385,6 +438,7 @@
         self._metrics.queued_calls.set(state.admission.queued)
         self._metrics.configuration_version.set(state.config.version)
         self._metrics.members.set(state.membership.table.present_count)
+        self._metrics.set_rollouts(state.rollouts.known.values())
         return Response(
             200,
             self._metrics.render(),
@@ -480,6 +534,12 @@
     return "" if prefix else name
 
 
+def _rollout_service(scope: dict[str, Any]) -> str:
+    """Return the service in the path of a rollout, or an empty string."""
+    prefix, _, service = scope["path"].partition(ROLLOUTS_PATH)
+    return "" if prefix else service
+
+
 def _error_response(status: int, code: str, message: str) -> Response:
     content = json.dumps({"status": code, "message": message})
     return Response(status, content.encode())
--- a/src/monsoonpass/runtime/upstream_runner.py
+++ b/src/monsoonpass/runtime/upstream_runner.py
@@ -212,6 +212,7 @@
             failure=failure,
             shed=call.shed,
             silent=silent,
+            status=call.status,
         )
 
     async def _run_exchange(
