--- a/src/monsoonpass/core/calls/hedging.py
+++ b/src/monsoonpass/core/calls/hedging.py
@@ -23,7 +23,7 @@
 SAMPLES_MIN = 50  # Latencies of a route needed before it is hedged.
 HEDGE_FACTOR = 2.0  # Hedge delay, as a multiple of the median latency.
 # A hedge cuts off the attempt that it overtakes. An attempt that measures a new
-# version goes on until it is surely slow (`evidence.SLOW_FACTOR`).
+# version goes on until it is surely slow (`evidence.SLOW_BUCKETS`).
 CANARY_HEDGE_FACTOR = 6.0
 
 
--- a/src/monsoonpass/core/rollouts/answer_counts.py
+++ b/src/monsoonpass/core/rollouts/answer_counts.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -88,8 +89,19 @@
         """Count a call that was cancelled before its answer."""
         self._counts(route).cancelled[bucket(service_time_s)] += 1
 
-    def report(self) -> tuple[rollout_messages.RouteCounts, ...]:
-        """Return all counts for a report."""
+    def report(
+        self, running: Iterable[tuple[str, float]] = ()
+    ) -> tuple[rollout_messages.RouteCounts, ...]:
+        """Return all counts for a report.
+
+        Args:
+            running: Route and time so far of each call in progress.
+        """
+        running_times: dict[str, collections.Counter[int]] = {}
+        for route, elapsed_s in running:
+            self._counts(route)
+            times = running_times.setdefault(route, collections.Counter())
+            times[bucket(elapsed_s)] += 1
         return tuple(
             rollout_messages.RouteCounts(
                 route=route,
@@ -97,6 +109,9 @@
                 timed_out=counts.timed_out,
                 answered=_flatten(counts.answered),
                 cancelled=_flatten(counts.cancelled),
+                running=_flatten(
+                    running_times.get(route, collections.Counter())
+                ),
             )
             for route, counts in self._by_route.items()
         )
--- a/src/monsoonpass/core/rollouts/evidence.py
+++ b/src/monsoonpass/core/rollouts/evidence.py
@@ -23,24 +23,29 @@
 # Added to the measured rates, which are uncertain. Hedges cut off slow answers
 # of other versions, but not of canaries, so the rate of slow ones gets more.
 FAILURE_MARGIN = 0.01
-SLOW_MARGIN = 0.08
-# A slow answer takes at least this multiple of the other versions' median.
-SLOW_FACTOR = 4
-SLOW_BUCKETS = int(math.log2(SLOW_FACTOR) * answer_counts.BUCKETS_PER_OCTAVE)
-# About e**-7 false alarms for each run of sound answers; three failures in a
-# row, or five slow answers, exceed it.
-THRESHOLD = 7.0
+SLOW_MARGIN = 0.05
+# A slow answer is this many buckets above the other versions' median, which is
+# 2.8 to 3.4 times as long. Some upstreams are twice as slow as the mean.
+SLOW_BUCKETS = 7
+# About e**-7 false alarms for each run of sound answers. Three failures in a
+# row exceed it, or four slow answers.
+FAILURE_THRESHOLD = 7.0
+SLOW_THRESHOLD = 6.0
+SUSPICION = 0.5  # Share of the thresholds from which there is no verdict yet.
 # While all calls go to the target, there are many more answers to test, and no
 # others to compare them with.
 FAILURE_THRESHOLD_PROMOTED = 12.0
 SLOW_THRESHOLD_PROMOTED = 30.0
-# Reports on the same period arrive over one report interval.
-SCORE_DELAY_S = 0.6
+# Reports of other upstreams on the same period arrive a little later.
+SCORE_DELAY_S = 0.35
 HALF_LIVES_S = (1.0, 6.0)
 MEDIAN_SAMPLES_MIN = 20
 PRIOR_SAMPLES = 50  # Of no failures, so that few samples make no high rate.
 CANARY_SAMPLES_MIN = 5
-RECENT_S = 2.0
+RECENT_S = 2.5
+# Sum of the logarithms over `RECENT_S` below which a route is proven sound:
+# seven sound answers, or twelve and a slow one.
+PROOF = -2.0
 ALL_ROUTES = "*"  # A configured route's name contains a slash.
 
 
@@ -87,11 +92,22 @@
         failure: Of failures at all upstreams of the target.
         slow: Of slow answers at all of them.
         slow_without: Of slow answers at all of them but one, by that one.
+        recent: Time, and logarithms of failures and of slow answers, of each
+            batch scored in the last `RECENT_S`.
     """
 
     failure: float = 0.0
     slow: float = 0.0
     slow_without: dict[str, float] = dataclasses.field(default_factory=dict)
+    recent: collections.deque[tuple[float, float, float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def is_proven(self) -> bool:
+        """Return whether the recent answers show no excess."""
+        failure = sum(item[1] for item in self.recent)
+        slow = sum(item[2] for item in self.recent)
+        return max(failure, slow) <= PROOF
 
 
 class _Baseline:
@@ -162,7 +178,6 @@
         self._pending: collections.deque[_Batch] = collections.deque()
         self._recent: collections.deque[tuple[float, int]] = collections.deque()
         self._by_instance: collections.Counter[str] = collections.Counter()
-        self._by_route: collections.Counter[str] = collections.Counter()
         self._advanced_s: float | None = None
 
     def add_other(self, counts: messages.RouteCounts) -> None:
@@ -194,6 +209,9 @@
             self._score(self._pending.popleft(), now_s)
         while self._recent and now_s - self._recent[0][0] > RECENT_S:
             self._recent.popleft()
+        for sums in self._sums.values():
+            while sums.recent and now_s - sums.recent[0][0] > RECENT_S:
+                sums.recent.popleft()
         if is_comparable:
             for baseline in self._baselines.values():
                 baseline.decay(elapsed_s)
@@ -206,23 +224,37 @@
                 or sums.slow >= SLOW_THRESHOLD_PROMOTED
                 for sums in self._sums.values()
             )
-        return self._exceeds(THRESHOLD)
+        return self._exceeds(1.0)
 
     def is_suspect(self) -> bool:
         """Return whether there is some excess, perhaps by chance."""
-        return self._exceeds(THRESHOLD / 2)
+        return self._exceeds(SUSPICION)
+
+    def answers_of(self, instance: str) -> int:
+        """Return the answers of an upstream of the target so far."""
+        return self._by_instance[instance]
+
+    def slow_running(self, counts: messages.RouteCounts) -> int:
+        """Return the calls in progress that are slow already."""
+        median = self._baselines[counts.route].median_bucket()
+        if median is None:
+            return 0
+        return sum(
+            count
+            for number, count in answer_counts.pairs(counts.running)
+            if number >= median + SLOW_BUCKETS
+        )
 
     def recent(self) -> int:
         """Return the answers of the target that were scored just now."""
         return sum(count for _, count in self._recent)
 
-    def unproven_routes(self, share_min: float, samples_min: int) -> list[str]:
-        """Return the routes with too few answers of the target.
+    def unproven_routes(self, share_min: float) -> list[str]:
+        """Return the routes on which the target is not proven sound.
 
         Args:
             share_min: Share of other versions' answers from which a route
                 counts.
-            samples_min: Answers of the target that it needs.
         """
         answers = {
             route: baseline.tallies[-1].answers
@@ -232,23 +264,24 @@
         return [
             route
             for route, count in answers.items()
-            if count >= share_min * total
-            and self._by_route[route] < samples_min
+            if count >= share_min * total and not self._sums[route].is_proven()
         ]
 
-    def _exceeds(self, threshold: float) -> bool:
+    def _exceeds(self, share: float) -> bool:
+        """Return whether a sum exceeds a share of its threshold."""
+        slow_threshold = share * SLOW_THRESHOLD
         sampled = [
             instance
             for instance, count in self._by_instance.items()
             if count >= CANARY_SAMPLES_MIN
         ]
         for sums in self._sums.values():
-            if sums.failure >= threshold:
+            if sums.failure >= share * FAILURE_THRESHOLD:
                 return True
-            if len(sampled) < 2 and sums.slow >= 2 * threshold:
+            if len(sampled) < 2 and sums.slow >= 2 * slow_threshold:
                 return True
             # One slow upstream is no fault of the version.
-            if len(sampled) >= 2 and threshold <= min(
+            if len(sampled) >= 2 and slow_threshold <= min(
                 sums.slow_without.get(instance, sums.slow)
                 for instance in sampled
             ):
@@ -265,7 +298,6 @@
         self.total += count
         self._recent.append((now_s, count))
         self._by_instance[batch.instance] += count
-        self._by_route[batch.counts.route] += count
         failure = _log_ratio(
             tally.failed,
             tally.answers,
@@ -279,6 +311,7 @@
         for route in (batch.counts.route, ALL_ROUTES):
             sums = self._sums[route]
             sums.failure = max(sums.failure + failure, 0.0)
+            sums.recent.append((now_s, failure, slow))
             self._add_slow(sums, batch.instance, slow)
 
     def _add_slow(self, sums: _Sums, instance: str, slow: float) -> None:
@@ -321,6 +354,7 @@
         timed_out=max(new.timed_out - old.timed_out, 0),
         answered=_subtract(new.answered, old.answered),
         cancelled=_subtract(new.cancelled, old.cancelled),
+        running=new.running,
     )
 
 
--- a/src/monsoonpass/core/rollouts/owner.py
+++ b/src/monsoonpass/core/rollouts/owner.py
@@ -109,7 +109,9 @@
     if known is None or known.rollout.phase.is_ended:
         state.rollouts.report_timer_set = False
         return []
-    result: list[effects.Effect] = [_report_timer(_report_delay_s(known))]
+    result: list[effects.Effect] = [
+        _report_timer(_report_delay_s(state, known))
+    ]
     if refuses_calls(state, event.now_s):
         result += _refuse_queued(state, event)
     to = known.leader or voter_lookup.pick_leader(state, event, 0)
@@ -119,8 +121,13 @@
     return result
 
 
-def _report_delay_s(known: rollout_state.KnownRollout) -> float:
-    """Return the time to the next report; short while nodes wait for it."""
+def _report_delay_s(
+    state: node.Node, known: rollout_state.KnownRollout
+) -> float:
+    """Return the time to the next report; short if a decision waits for it."""
+    own = state.settings.address.instance
+    if own in known.rollout.canaries:
+        return known.report_interval_s / 2
     if known.rollout.serves_all:
         return min(known.report_interval_s, CLOSE_DELAY_S / 3)
     return known.report_interval_s
@@ -146,7 +153,11 @@
         slots=admission.slots,
         ready=admission.accepts_calls and not admission.is_cold(event.now_s),
         closed=is_closed and admission.is_idle,
-        routes=counts.report(),
+        routes=counts.report(
+            (call.route, event.now_s - call.dispatched_s)
+            for call in admission.in_progress.values()
+            if call.process_number == state.upstream.process_number
+        ),
     )
 
 
--- a/src/monsoonpass/core/rollouts/plan.py
+++ b/src/monsoonpass/core/rollouts/plan.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from monsoonpass.core import node
 from monsoonpass.core.membership import member_table
@@ -25,24 +26,30 @@
 FIRST_SHARE = 0.5  # Share of the final one in the first step.
 STEP_MIN_S = 1.0
 FULL_STEP_MIN_S = 1.5
-CANARIES_MIN = 2  # One slow upstream is told from a slow version by another.
-CANARIES_WAIT = 0.3  # Share of the duration to wait for that number.
+# Upstreams of the target take turns as canaries: one slow upstream is told from
+# a slow version by others.
+TURN_S = 1.2
+READY_MIN = 2
+READY_WAIT = 0.3  # Share of the duration to wait for that number.
 CANARY_LOAD_MAX = 1.25  # Calls of a canary, as a multiple of other upstreams'.
-# Small changes of the number of upstreams change nothing: each step starts the
-# observation again.
+# Small changes of the number of upstreams change nothing.
 SHARE_TOLERANCE = 0.25
-# Faults show by this share of the duration.
-HOLD = 0.6
+# Late faults show by six tenths of the duration; reports on slow answers take
+# another second.
+HOLD = 0.65
 PROMOTED_SHARE = 0.4
 PROMOTED_STEP_S = 0.6
 SAMPLES_MIN = 40  # A fault in a quarter of the calls shows ten times.
 RECENT_SAMPLES_MIN = 15
-ROUTE_SHARE_MIN = 0.03
-ROUTE_SAMPLES_MIN = 8
-ROUTES_WAIT = 0.7  # Share of the duration to wait for rare routes.
+# Share of the calls from which a route must be proven sound, until a share of
+# the duration; rare routes have too few answers.
+ROUTES_PROVEN = ((0.75, 0.05), (1.0, 0.1))
 # Slots of the target, as a share of the others', that a promotion needs until
 # a share of the duration.
-SLOTS_NEEDED = ((0.7, 0.9), (0.8, 0.5), (1.0, 0.0))
+SLOTS_NEEDED = ((0.75, 0.9), (0.85, 0.5), (1.0, 0.0))
+# Calls in progress at canaries that are slow already; a sound version rarely
+# has two at once.
+SLOW_RUNNING_MAX = 1
 # Share of the duration from which silent owner nodes are not waited for.
 SILENT_WAIT = 0.9
 
@@ -71,6 +78,8 @@
         evidence: Comparison of the versions.
         step: Last known step.
         step_since_s: When it was recorded, or this node began to lead.
+        full_since_s: Since when the canaries get the whole share; infinite if
+            they do not.
         proposed_s: When the next step was proposed.
     """
 
@@ -80,6 +89,7 @@
         self.evidence = evidence_lib.Evidence()
         self.step = rollout.step
         self.step_since_s = now_s
+        self.full_since_s = math.inf
         self.proposed_s = float("-inf")
 
     def add_report(
@@ -114,6 +124,12 @@
             self.step_since_s = now_s
             self.proposed_s = float("-inf")
 
+    def note_share(self, *, is_full: bool, now_s: float) -> None:
+        """Note whether the canaries get the whole share."""
+        if not is_full:
+            self.full_since_s = math.inf
+        self.full_since_s = min(self.full_since_s, now_s)
+
 
 def next_step(
     state: node.Node,
@@ -126,6 +142,10 @@
     elapsed_s = rollout.elapsed_s(now_ms)
     is_promoted = rollout.phase is Phase.PROMOTED
     is_comparable = not rollout.serves_all
+    tracker.note_share(
+        is_full=rollout.share > FIRST_SHARE * share_max(state.settings),
+        now_s=now_s,
+    )
     tracker.evidence.advance(now_s, is_comparable=is_comparable)
     changes: dict[str, object] | None = None
     if tracker.evidence.is_bad(is_promoted=is_promoted):
@@ -223,21 +243,31 @@
     """Return whether the target is found good."""
     evidence = tracker.evidence
     progress = elapsed_s / rollout.duration_s
-    step_s = now_s - tracker.step_since_s
-    if progress < HOLD or not rollout.canaries or step_s < FULL_STEP_MIN_S:
+    full_s = now_s - tracker.full_since_s
+    if progress < HOLD or not rollout.canaries or full_s < FULL_STEP_MIN_S:
         return False
     if evidence.is_suspect() or evidence.total < SAMPLES_MIN:
         return False
+    ready = _ready_targets(rollout, tracker, now_s)
+    slow_running = sum(
+        evidence.slow_running(counts)
+        for report in ready.values()
+        for counts in report.routes
+    )
+    if slow_running > SLOW_RUNNING_MAX:
+        return False
     if evidence.recent() < RECENT_SAMPLES_MIN:
         return False
-    if progress < ROUTES_WAIT and evidence.unproven_routes(
-        ROUTE_SHARE_MIN, ROUTE_SAMPLES_MIN
-    ):
+    if evidence.unproven_routes(_until(progress, ROUTES_PROVEN)):
         return False
-    target_slots = _slots(_ready_targets(rollout, tracker, now_s))
+    target_slots = _slots(ready)
     other_slots = _slots(_others(rollout, tracker, now_s))
-    needed = next(share for until, share in SLOTS_NEEDED if progress <= until)
-    return target_slots >= needed * other_slots
+    return target_slots >= _until(progress, SLOTS_NEEDED) * other_slots
+
+
+def _until(progress: float, values: tuple[tuple[float, float], ...]) -> float:
+    """Return the value that holds at a share of the duration."""
+    return next(value for until, value in values if progress <= until)
 
 
 def _canary_step(
@@ -256,27 +286,31 @@
         return None
     if not ready:
         return {"share": 0.0, "canaries": ()} if rollout.canaries else None
-    may_wait = elapsed_s < CANARIES_WAIT * rollout.duration_s
-    if len(ready) < CANARIES_MIN and not rollout.canaries and may_wait:
+    may_wait = elapsed_s < READY_WAIT * rollout.duration_s
+    if len(ready) < READY_MIN and not rollout.canaries and may_wait:
         return None
     limit = share_max(state.settings)
     is_first = not rollout.canaries or tracker.evidence.is_suspect()
     share = max(FIRST_SHARE * limit, rollout.share) if is_first else limit
     others = max(len(_others(rollout, tracker, now_s)), 1)
-    wanted = min(max(round(share * others), CANARIES_MIN), len(ready))
+    wanted = min(max(int(share * others), 1), len(ready))
     share = min(share, CANARY_LOAD_MAX * wanted / others)
     salt = f"rollout/{rollout.service}/{rollout.number}"
-    spare = sorted(
-        (name for name in ready if name not in kept),
-        key=lambda name: member_table.rank(name, salt),
+    ranked = sorted(
+        ready,
+        key=lambda name: (
+            tracker.evidence.answers_of(name),
+            member_table.rank(name, salt),
+        ),
     )
-    canaries = tuple((kept + spare)[:wanted])
+    canaries = tuple(ranked[:wanted])
+    if step_s < TURN_S:
+        canaries = tuple(
+            [*kept, *(n for n in ranked if n not in kept)][:wanted]
+        )
     change = abs(share - rollout.share)
-    if (
-        rollout.canaries
-        and not is_lost
-        and len(canaries) <= len(rollout.canaries)
-        and change <= SHARE_TOLERANCE * rollout.share
+    if set(canaries) == set(rollout.canaries) and (
+        change <= SHARE_TOLERANCE * rollout.share
     ):
         return None
     return {"share": share, "canaries": canaries}
--- a/src/monsoonpass/core/rollouts/rollout_messages.py
+++ b/src/monsoonpass/core/rollouts/rollout_messages.py
@@ -51,6 +51,7 @@
         timed_out: Calls without an answer at their deadline.
         answered: Histogram of the other complete answers.
         cancelled: Histogram of the calls that were cancelled.
+        running: Histogram of the times that the calls in progress have taken.
     """
 
     route: str
@@ -58,6 +59,7 @@
     timed_out: int
     answered: tuple[int, ...]
     cancelled: tuple[int, ...]
+    running: tuple[int, ...] = ()
 
 
 @codec.register(136)
