--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -117,6 +117,81 @@
         anyio.run(scenario)
 
 
+class TestRollouts:
+    """Orders and reads of rollouts at nodes with and without a disk."""
+
+    def test_order_repeat_conflict_and_read(self, tmp_path):
+        async def scenario(mesh):
+            first, second = mesh.nodes
+            await mesh.submit(second, test_end_to_end.OPERATOR_TEXT)
+            order = {
+                "service": "shop",
+                "target_version": "2.0",
+                "duration_s": 60,
+            }
+            path = "/v1/rollouts/shop"
+
+            async def post(node, **changes) -> int:
+                response = await mesh.http.post(
+                    f"{node.operator_url}/v1/rollouts", json=order | changes
+                )
+                return response.status_code
+
+            response = await mesh.http.get(second.operator_url + path)
+            assert response.status_code == 404
+            assert await post(second) == 200
+            assert await post(first) == 200
+            assert await post(second, target_version="3.0") == 409
+            assert await post(second, service="nowhere") == 400
+            assert await post(second, target_version="") == 400
+            assert await post(second, duration_s=-1) == 400
+            assert await post(second, duration_s="soon") == 400
+            for node in (first, second):
+                response = await mesh.http.get(node.operator_url + path)
+                assert response.json() == {
+                    "state": "running",
+                    "target_version": "2.0",
+                }
+            flag = f"--node=127.0.0.1:{second.operator_port}"
+            code, out, _ = await run_command("rollout", "show", "shop", flag)
+            assert code == 0
+            assert "rollout to 2.0 running" in out
+            code, _, _ = await run_command("rollout", "show", "other", flag)
+            assert code == 1
+            start = ("rollout", "start", "shop")
+            code, out, _ = await run_command(*start, "2.0", "60", flag)
+            assert code == 0
+            assert "repeated" in out
+            code, out, _ = await run_command(*start, "3.0", "60", flag)
+            assert code == 1
+            assert "conflict" in out
+            assert (await run_command(*start, flag))[0] == 2
+            response = await mesh.http.get(f"{first.operator_url}/metrics")
+            assert (
+                'monsoonpass_rollout_phase{phase="running",service="shop"} 1.0'
+                in response.text
+            )
+
+        run_on_mesh(tmp_path, scenario)
+
+    def test_heartbeat_carries_the_version(self, tmp_path):
+        async def scenario(mesh):
+            node = mesh.nodes[1]
+            state = node.daemon.engine.state
+            for version, expected in (("1.5", "1.5"), (None, "")):
+                heartbeat = HEARTBEAT | {
+                    "born": 2 + (version is None),
+                    "version": version,
+                }
+                response = await mesh.http.put(
+                    f"{node.operator_url}/v1/upstreams/i-1", json=heartbeat
+                )
+                assert response.status_code == 200, response.text
+                assert state.membership.own_record.version == expected
+
+        run_on_mesh(tmp_path, scenario)
+
+
 class TestDaemonSettings:
     def test_invalid_settings_are_all_listed_with_exit_code_2(self, tmp_path):
         path = tmp_path / "node.ini"
--- a/tests/test_rollout_parts.py
+++ b/tests/test_rollout_parts.py
@@ -15,6 +15,7 @@
 from monsoonpass.core.rollouts import rollout as rollout_lib
 from monsoonpass.core.rollouts import rollout_messages as messages
 from monsoonpass.core.rollouts import rollout_state
+from monsoonpass.core.rollouts import version_choice
 from tests import fake_mesh
 from tests import fake_topologies
 
@@ -351,3 +352,113 @@
         mesh.run(2)
         for node in mesh.nodes.values():
             assert node.state.rollouts.find("x") is not None, node.name
+
+
+class TestCredit:
+    def test_canaries_get_the_share_of_the_answered_calls(self):
+        """Guards against a share that the slack of short tests would hide.
+
+        Guard: the draw in version_choice.record_answer.
+        """
+        node = make_owner("2")
+        state = node.state
+        learn(node, make_rollout(step=1, share=0.08, canaries=("p1",)))
+        state.membership.table.put(
+            dataclasses.replace(
+                state.membership.own_record,
+                address=fake_mesh.make_address("o1"),
+                version="1",
+            ),
+            node.mesh.now_s,
+        )
+        rng = random.Random(3)
+        calls, sent = 20_000, 0
+        for _ in range(calls):
+            event = events.Event(
+                now_s=node.mesh.now_s, random_bits=rng.getrandbits(64)
+            )
+            choice = version_choice.choose(state, event, "shop", set())
+            if choice.target is not None:
+                sent += 1
+                version_choice.record_sent_to_target(state, "shop")
+            version_choice.record_answer(state, event, "shop")
+        assert 0.07 * calls < sent < 0.09 * calls
+
+    def test_second_attempts_do_not_go_to_a_canary(self):
+        """Guard: `tried` in version_choice._canaries."""
+        node = make_owner("2")
+        learn(node, make_rollout(step=1, share=0.08, canaries=("p1",)))
+        known = node.state.rollouts.known["shop"]
+        known.credit = 1
+        event = events.Event(now_s=node.mesh.now_s, random_bits=1)
+        first = version_choice.choose(node.state, event, "shop", set())
+        second = version_choice.choose(node.state, event, "shop", {"o1"})
+        assert first.target is not None
+        assert second.target is None
+
+
+class TestVerdict:
+    """The next step of a rollout at 0.7 of its duration."""
+
+    def next_step(
+        self, *, target: messages.RouteCounts, slots: int = 5
+    ) -> rollout_lib.Rollout | None:
+        """Feed four seconds of reports and return the next step."""
+        node = make_owner("2")
+        now_s = node.mesh.now_s
+        started_ms = node.state.wall_ms(now_s) - 4400
+        rollout = make_rollout(
+            started_ms=started_ms, step=2, share=0.08, canaries=("p1", "p2")
+        )
+        tracker = plan.Tracker(rollout, now_s)
+        totals = {"p1": 0, "p2": 0, "o1": 0, "o2": 0}
+        planned = None
+        for _ in range(8):
+            now_s += 0.5
+            for name in totals:
+                totals[name] += 1
+                is_target = name.startswith("p")
+                counts = target if is_target else OTHERS
+                report = messages.UpstreamReport(
+                    service="shop",
+                    number=1,
+                    version="2" if is_target else "1",
+                    epoch=totals[name],
+                    slots=slots if is_target else 5,
+                    ready=True,
+                    closed=False,
+                    routes=(counts,),
+                )
+                tracker.add_report(rollout, name, report, now_s)
+            planned = plan.next_step(node.state, rollout, tracker, now_s)
+        return planned
+
+    def test_sound_version_is_promoted(self):
+        planned = self.next_step(target=SOUND)
+        assert planned.phase is rollout_lib.Phase.PROMOTED
+
+    def test_too_few_answers_are_no_verdict(self):
+        """Guard: `unproven_routes` and `SAMPLES_MIN` in plan._is_proven."""
+        planned = self.next_step(target=make_counts(USUAL_S))
+        assert planned is None or planned.phase is rollout_lib.Phase.RUNNING
+
+    def test_frequent_route_without_answers_is_no_verdict(self):
+        """Guard: `unproven_routes` in plan._is_proven."""
+        target = dataclasses.replace(SOUND, route="shop/other")
+        planned = self.next_step(target=target)
+        assert planned is None or planned.phase is rollout_lib.Phase.RUNNING
+
+    def test_slow_calls_in_progress_delay_the_verdict(self):
+        """Slow answers come later than others of the same period.
+
+        Guard: `slow_running` in plan._is_proven.
+        """
+        running = (answer_counts.bucket(USUAL_S * 5), 1)
+        target = dataclasses.replace(SOUND, running=running)
+        planned = self.next_step(target=target)
+        assert planned is None or planned.phase is rollout_lib.Phase.RUNNING
+
+    def test_target_with_too_few_slots_is_not_promoted_yet(self):
+        """Guard: `SLOTS_NEEDED` in plan._is_proven."""
+        planned = self.next_step(target=SOUND, slots=4)
+        assert planned is None or planned.phase is rollout_lib.Phase.RUNNING
