--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -18,6 +18,7 @@
 from monsoonpass.core.membership import own_upstream_state as upstream_lib
 from monsoonpass.core.quotas import limits as limits_lib
 from monsoonpass.core.quotas import quota_state as quota_state_lib
+from monsoonpass.core.rollouts import rollout_state
 
 
 @immutable.dataclass
@@ -65,6 +66,10 @@
             0 for upstreams that announce themselves only once.
         quota_wait_s: Longest wait of a call for a token of its workspace.
         quota_slack: How far workspaces may exceed their limits.
+        exposed_share: Share of a service's calls that a rollout's target may
+            get before the verdict.
+        exposed_slack: Calls that it may get in addition, over all nodes.
+        rollback_s: Time from the bad answers of a version to its last call.
     """
 
     address: address_lib.Address
@@ -87,6 +92,9 @@
     silence_s: float = 0.0
     quota_wait_s: float = 2.0
     quota_slack: limits_lib.Slack = limits_lib.Slack()
+    exposed_share: float = 0.1
+    exposed_slack: float = 50.0
+    rollback_s: float = 5.0
 
     def covers(self, data_centre: str) -> bool:
         """Return whether the member table includes a data centre."""
@@ -373,6 +381,7 @@
         upstream: The process that is the own upstream, and its phase.
         admission: Slots and queue of the own upstream.
         routing: Load, latency and failures observed for each upstream.
+        rollouts: Rollouts, as far as this node knows or leads them.
         calls: Calls in progress through this node, by call id.
         keyed_calls: Claims of calls with an idempotency key, by call id.
         abandoned_claims: Claims whose calls ended without running, by call id.
@@ -404,6 +413,9 @@
     routing: routing_table.RoutingTable = dataclasses.field(
         default_factory=routing_table.RoutingTable
     )
+    rollouts: rollout_state.RolloutState = dataclasses.field(
+        default_factory=rollout_state.RolloutState
+    )
     calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     keyed_calls: dict[int, Any] = dataclasses.field(default_factory=dict)
     abandoned_claims: dict[int, Any] = dataclasses.field(default_factory=dict)
--- a/src/monsoonpass/core/timers.py
+++ b/src/monsoonpass/core/timers.py
@@ -167,6 +167,23 @@
     """A request for tokens is due, or a call has waited for one too long."""
 
 
+@immutable.dataclass
+class RolloutPlanDue(Timer):
+    """The leader is due to decide about the running rollouts."""
+
+
+@immutable.dataclass
+class RolloutReportDue(Timer):
+    """A report on the own upstream is due to the leader of a rollout."""
+
+
+@immutable.dataclass
+class RolloutRequestRetry(Timer):
+    """An order or read of an operator was not answered in time."""
+
+    request_id: int
+
+
 @immutable.dataclass
 class UpstreamSilenceTimeout(Timer):
     """The own upstream may have been silent for too long."""
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -30,6 +30,7 @@
     limits: sections.LimitsSection = sections.LimitsSection()
     telemetry: sections.TelemetrySection = sections.TelemetrySection()
     retries: sections.RetriesSection = sections.RetriesSection()
+    rollouts: sections.RolloutsSection = sections.RolloutsSection()
     headers: sections.HeadersSection = sections.HeadersSection()
     quotas: sections.QuotasSection = sections.QuotasSection()
 
@@ -115,6 +116,9 @@
             quota_slack=limits.Slack(
                 ratio=self.quotas.slack_ratio, tokens=self.quotas.slack_tokens
             ),
+            exposed_share=self.rollouts.exposed_share,
+            exposed_slack=self.rollouts.exposed_slack,
+            rollback_s=self.rollouts.rollback_s,
         )
 
 
--- a/src/monsoonpass/runtime/metric_types.py
+++ b/src/monsoonpass/runtime/metric_types.py
@@ -89,6 +89,10 @@
             found = self._values[values] = self._make_value()
         return found
 
+    def clear(self) -> None:
+        """Remove the values of all combinations of labels."""
+        self._values.clear()
+
     def samples(self) -> list[Sample]:
         """Return the lines of this metric."""
         raise NotImplementedError
--- a/src/monsoonpass/runtime/metrics.py
+++ b/src/monsoonpass/runtime/metrics.py
@@ -1,5 +1,8 @@
 """Prometheus metrics of one node."""
 
+from collections.abc import Iterable
+
+from monsoonpass.core.rollouts import rollout_state
 from monsoonpass.runtime import metric_types
 
 LATENCY_BUCKETS_S = (
@@ -56,6 +59,9 @@
         caller_received_bytes: Bytes received from callers and not passed on.
         callers_shed: What was refused or closed because of a limit on all
             callers together, by kind.
+        rollout_share: Share of a service's calls that its newest rollout gives
+            to the target, as far as this node knows.
+        rollout_phase: 1 for the phase of a service's newest rollout.
         confined_failures: Unexpected errors that did not end the node, by the
             effect or component that failed.
     """
@@ -165,6 +171,18 @@
             ["kind"],
             registry=registry,
         )
+        self.rollout_share = metric_types.Gauge(
+            "monsoonpass_rollout_share",
+            "Share of a service's calls that go to the rollout's target.",
+            ["service"],
+            registry=registry,
+        )
+        self.rollout_phase = metric_types.Gauge(
+            "monsoonpass_rollout_phase",
+            "1 for the phase of a service's newest rollout.",
+            ["service", "phase"],
+            registry=registry,
+        )
         self.confined_failures = metric_types.Counter(
             "monsoonpass_confined_failures",
             "Unexpected errors that did not end the node.",
@@ -172,6 +190,16 @@
             registry=registry,
         )
 
+    def set_rollouts(self, known: Iterable[rollout_state.KnownRollout]) -> None:
+        """Set the metrics of the rollouts that the node knows."""
+        self.rollout_phase.clear()
+        self.rollout_share.clear()
+        for item in known:
+            rollout = item.rollout
+            self.rollout_share.labels(rollout.service).set(rollout.share)
+            phase = rollout.phase.value
+            self.rollout_phase.labels(rollout.service, phase).set(1)
+
     def render(self) -> bytes:
         """Return the registry in Prometheus's text format."""
         return self.registry.render()
--- a/tests/test_metric_types.py
+++ b/tests/test_metric_types.py
@@ -22,6 +22,8 @@
     plain = library.Counter("plain", "Without labels.", registry=registry)
     gauge = library.Gauge("level", "A level.", registry=registry)
     levels = library.Gauge("levels", "Levels.", ["place"], registry=registry)
+    levels.labels("cleared").set(1.0)
+    levels.clear()
     for label, amount in counted:
         levels.labels(label).set(amount)
     histogram = library.Histogram(
