--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -33,6 +33,11 @@
 # Silence after which a call counts as not queued by the upstream, as a multiple
 # of the usual time.
 SILENCE_FACTOR = 5.0
+# Reported queue of an upstream that sheds calls, per slot and share of shed
+# calls. One that sheds half of its calls counts as full: each shed call costs
+# another attempt.
+SHED_PENALTY = 2.0
+SHED_REST_MIN = 0.1  # Share of calls that is assumed to be served at least.
 PROBE_WEIGHT = 0.5  # Weight of a probe's sample, its route's only one.
 
 
@@ -45,6 +50,7 @@
         in_progress: Calls that hold a slot, by owner call id.
         queue_limit: Number of calls that may be queued.
         end_s: When a stopping node gives up all calls; infinite before a stop.
+        even_load: Whether other nodes place calls by `even_placement`.
     """
 
     def __init__(self, *, queue_limit: int = 256):
@@ -54,6 +60,7 @@
         self.in_progress: dict[int, owner_call_lib.OwnerCall] = {}
         self.queue_limit = queue_limit
         self.end_s = math.inf
+        self.even_load = False
         self._queue: list[
             tuple[tuple[int, bool, float, int], owner_call_lib.OwnerCall]
         ] = []
@@ -94,10 +101,19 @@
                 now_s - call.dispatched_s for call in self.in_progress.values()
             ) / len(self.in_progress)
             service_time_s = max(service_time_s, elapsed_s)
+        slots, queued = self.slots, len(self._queue)
+        if self.even_load:
+            # A cold upstream reports the slots that it has for calls with
+            # somewhere else to go. One that sheds calls is soon done with
+            # them, and would look idle; a call takes several attempts there.
+            slots = self._slots.reroutable_limit(now_s)
+            shed_share = self._slots.shed_share(now_s)
+            queued += round(SHED_PENALTY * shed_share * slots)
+            service_time_s /= max(1.0 - shed_share, SHED_REST_MIN)
         return outcome.Load(
-            slots=self.slots,
+            slots=slots,
             in_progress=len(self.in_progress),
-            queued=len(self._queue),
+            queued=queued,
             service_time_s=service_time_s,
         )
 
--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -15,6 +15,7 @@
 from monsoonpass.core.calls import hedging
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import owner_call as owner_call_lib
+from monsoonpass.core.calls import placement
 from monsoonpass.core.calls import retry_after
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import routing
@@ -111,7 +112,9 @@
             state, event, call.call_id, final_failure(call, refusal)
         )
     objective_s = call.objective_deadline_s - event.now_s
-    choice = routing.choose(state, event, call.service, call.tried, objective_s)
+    choice = placement.choose(
+        state, event, call.service, call.tried, objective_s
+    )
     if (
         choice is None
         and busy_instance
--- a/src/monsoonpass/core/calls/hedging.py
+++ b/src/monsoonpass/core/calls/hedging.py
@@ -14,6 +14,7 @@
 from monsoonpass.core import timers
 from monsoonpass.core.calls import admission
 from monsoonpass.core.calls import call as call_lib
+from monsoonpass.core.calls import placement
 from monsoonpass.core.calls import retry_budget
 from monsoonpass.core.calls import routing
 
@@ -49,7 +50,7 @@
         return None, []
     silent_in_s = _silent_at_s(state, call) - event.now_s
     running = {attempt.instance for attempt in call.attempts.values()}
-    choice = routing.choose(state, event, call.service, call.tried | running)
+    choice = placement.choose(state, event, call.service, call.tried | running)
     # Without a free slot, the second attempt would delay another call's first.
     is_possible = choice is not None and choice.reroutable
     is_near = is_possible and not choice.rtt_s
--- /dev/null
+++ b/src/monsoonpass/core/calls/placement.py
@@ -0,0 +1,20 @@
+"""Chooses the upstream instance for a call, as the settings say."""
+
+import math
+
+from monsoonpass.core import events
+from monsoonpass.core import node
+from monsoonpass.core.calls import even_placement
+from monsoonpass.core.calls import routing
+
+
+def choose(
+    state: node.Node,
+    event: events.Event,
+    service: str,
+    tried: set[str],
+    objective_s: float = math.inf,
+) -> routing.Candidate | None:
+    """Choose the instance for a call; see `routing.choose`."""
+    chosen = even_placement if state.settings.even_load else routing
+    return chosen.choose(state, event, service, tried, objective_s)
--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -170,13 +170,13 @@
     for member in members.values():
         if member.instance in tried or not member.upstream.accepts_calls:
             continue
-        rtt_s = _expected_rtt_s(state, member)
+        rtt_s = expected_rtt_s(state, member)
         candidate = Candidate(address=member.address, rtt_s=rtt_s)
         usable.append((candidate, member))
     return _without_ejected(state, usable, event.now_s)
 
 
-def _expected_rtt_s(state: node.Node, member: member_lib.Member) -> float:
+def expected_rtt_s(state: node.Node, member: member_lib.Member) -> float:
     """Return the expected round trip to a member, in seconds."""
     settings = state.settings
     if member.data_centre == settings.data_centre:
--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from typing import Any
 
 from monsoonpass.core import bounded_mapping
 from monsoonpass.core.calls import caller_timeouts
@@ -105,6 +106,7 @@
             service.
         round_robin: Weighted round robin state, by route.
         caller_timeouts: Timeouts that callers set, by route.
+        pools: State of the even placement, by service; see `even_placement`.
     """
 
     def __init__(self) -> None:
@@ -114,6 +116,7 @@
         self.awaiting_endpoints: dict[str, list[int]] = {}
         self.round_robin: dict[str, weighted_round_robin.RoundRobinState] = {}
         self.caller_timeouts = caller_timeouts.CallerTimeouts()
+        self.pools: dict[str, Any] = {}
 
     def peer(self, instance: str) -> Peer:
         """Return the statistics of an instance; new ones if there are none."""
--- a/src/monsoonpass/core/calls/slots.py
+++ b/src/monsoonpass/core/calls/slots.py
@@ -12,6 +12,8 @@
 PROVEN_TTL_S = 2.0  # Time for which an answer proves its concurrency.
 SLOW_START_S = 5.0  # Used if the upstream does not say how long it is cold.
 SLOW_START_SHARE = 0.25  # Share of the slots that a cold upstream starts with.
+SHED_SMOOTHING = 0.1  # Weight of an ended call in the share of shed calls.
+SHED_SHARE_HALF_LIFE_S = 1.0  # Without calls, nothing shows a recovery.
 
 
 class Slots:
@@ -28,6 +30,8 @@
         self._proven_at_s = -math.inf
         self._cold_since_s = -math.inf
         self._slow_start_s = SLOW_START_S
+        self._shed_share = 0.0
+        self._shed_share_at_s = -math.inf
 
     def announce(
         self, announced: int, *, cold: bool, cold_s: float, now_s: float
@@ -45,6 +49,7 @@
         self._limit = float(announced)
         self._cold_since_s = now_s if cold else -math.inf
         self._slow_start_s = cold_s or SLOW_START_S
+        self._shed_share = 0.0
 
     @property
     def usable(self) -> int:
@@ -80,6 +85,7 @@
                 dispatched, including that call.
             now_s: Time of the event.
         """
+        self._update_shed_share(0.0, now_s)
         self._limit += 1.0 / self._limit
         self._limit = min(self._limit, float(self.announced))
         is_expired = now_s - self._proven_at_s > PROVEN_TTL_S
@@ -93,8 +99,21 @@
         An upstream that sheds at random would shed the same share of calls at
         any limit, so a lower one would only cause more refusals.
         """
+        self._update_shed_share(1.0, now_s)
         floor = max(self.announced * SHED_FLOOR_SHARE, 1.0)
         if now_s - self._proven_at_s <= PROVEN_TTL_S:
             floor = max(floor, float(self._proven_concurrency))
         reduced = max(self._limit * SHED_FACTOR, floor)
         self._limit = min(self._limit, reduced)
+
+    def shed_share(self, now_s: float) -> float:
+        """Return the share of recent calls that the upstream has shed."""
+        if not self._shed_share:
+            return 0.0
+        age_s = now_s - self._shed_share_at_s
+        return self._shed_share * 0.5 ** (age_s / SHED_SHARE_HALF_LIFE_S)
+
+    def _update_shed_share(self, shed: float, now_s: float) -> None:
+        share = self.shed_share(now_s)
+        self._shed_share = share + SHED_SMOOTHING * (shed - share)
+        self._shed_share_at_s = now_s
--- a/src/monsoonpass/core/membership/member_table.py
+++ b/src/monsoonpass/core/membership/member_table.py
@@ -21,12 +21,14 @@
         present_count: Number of members that are alive or suspected.
         suspect_count: Number of members that are suspected.
         present_by_data_centre: Number of present members by data centre.
+        revisions: Changes of the present members, by service.
     """
 
     def __init__(self) -> None:
         self.present_count = 0
         self.suspect_count = 0
         self.present_by_data_centre: dict[str, int] = {}
+        self.revisions: dict[str, int] = {}
         self._members: dict[str, member_lib.Member] = {}
         self._absent_since_s: dict[str, float] = {}
         self._buckets = [0] * BUCKETS
@@ -103,7 +105,9 @@
         self._buckets[_bucket(member.instance)] ^= _digest(member)
         if not member.service:
             return
-        group = self.by_service.setdefault(member.service, {})
+        service = member.service
+        self.revisions[service] = self.revisions.get(service, 0) + 1
+        group = self.by_service.setdefault(service, {})
         if adds:
             group[member.instance] = member
         else:
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -61,6 +61,7 @@
             nodes.
         silence_s: Silence after which an announced upstream is withdrawn;
             0 for upstreams that announce themselves only once.
+        even_load: Whether calls are placed by `calls.even_placement`.
     """
 
     address: address_lib.Address
@@ -81,6 +82,7 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     silence_s: float = 0.0
+    even_load: bool = False
 
     def covers(self, data_centre: str) -> bool:
         """Return whether the member table includes a data centre."""
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -45,6 +45,7 @@
     # process of this node do not match.
     state.survey_number = event.wall_ms
     state.admission.queue_limit = state.settings.queue_limit
+    state.admission.even_load = state.settings.even_load
     version_distribution.recover(state, event)
     return [
         *membership.start(state, event),
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -30,6 +30,7 @@
     telemetry: sections.TelemetrySection = sections.TelemetrySection()
     retries: sections.RetriesSection = sections.RetriesSection()
     headers: sections.HeadersSection = sections.HeadersSection()
+    routing: sections.RoutingSection = sections.RoutingSection()
 
     @property
     def drain_limit_s(self) -> float:
@@ -106,6 +107,7 @@
             retry_ratio=self.retries.ratio,
             retry_slack=self.retries.slack,
             silence_s=self.upstream.silence_s,
+            even_load=self.routing.even_load,
         )
 
 
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -225,6 +225,17 @@
     slack: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 20.0
 
 
+class RoutingSection(Section):
+    """[routing]: how upstreams are chosen.
+
+    Attributes:
+        even_load: Whether load is spread by estimated occupancy and turns. All
+            nodes of a mesh should use the same value.
+    """
+
+    even_load: bool = False
+
+
 class HeadersSection(Section):
     """[headers]: names of the HTTP headers; see `HeaderNames`.
 
