--- a/src/monsoonpass/core/calls/routing.py
+++ b/src/monsoonpass/core/calls/routing.py
@@ -48,6 +48,7 @@
     service: str,
     tried: set[str],
     objective_s: float = math.inf,
+    versions: version_choice.VersionFilter = version_choice.ALL_VERSIONS,
 ) -> Candidate | None:
     """Choose the instance for a call by expected latency and link cost.
 
@@ -64,33 +65,11 @@
         service: The service called.
         tried: Instances that refused or failed this call.
         objective_s: Time left of the response time objective, in seconds.
+        versions: Which instances may be chosen, by their upstreams' versions.
 
     Returns:
         The candidate, or None if no instance is worth an attempt.
     """
-    versions = version_choice.choose(state, event, service, tried)
-    if versions.target is not None:
-        choice = _choose_instance(
-            state, event, service, tried, objective_s, versions.target
-        )
-        # Without a free slot at the target, the call is no measure of it.
-        if choice is not None and choice.reroutable:
-            version_choice.record_sent_to_target(state, service)
-            return choice
-    return _choose_instance(
-        state, event, service, tried, objective_s, versions.regular
-    )
-
-
-def _choose_instance(
-    state: node.Node,
-    event: events.Event,
-    service: str,
-    tried: set[str],
-    objective_s: float,
-    versions: version_choice.VersionFilter,
-) -> Candidate | None:
-    """Choose an instance among those of some versions, as `choose`."""
     rng = seeded_random.SeededRandom(bits=event.random_bits)
     now_s = event.now_s
     near_tiers, far_candidates = _candidates_by_distance(
@@ -182,14 +161,25 @@
     versions: version_choice.VersionFilter = version_choice.ALL_VERSIONS,
 ) -> list[Candidate]:
     """Return the instances of a service in other data centres."""
+    return [
+        candidate
+        for candidate, member in remote_members(state, service)
+        if member.instance not in tried and versions.accepts(member)
+    ]
+
+
+def remote_members(
+    state: node.Node, service: str
+) -> list[tuple[Candidate, member_lib.Member]]:
+    """Return the instances of a service that other data centres have told."""
     result = []
     by_data_centre = state.directory.endpoints.get(service, {})
     for data_centre, endpoints in by_data_centre.items():
         # Assumes 20 ms until the round trip is measured.
         rtt_s = state.directory.rtt_s.get(data_centre, 0.02)
         for member in endpoints.members:
-            if member.instance not in tried and versions.accepts(member):
-                result.append(Candidate(address=member.address, rtt_s=rtt_s))
+            candidate = Candidate(address=member.address, rtt_s=rtt_s)
+            result.append((candidate, member))
     return result
 
 
@@ -208,13 +198,13 @@
             continue
         if not versions.accepts(member):
             continue
-        rtt_s = _expected_rtt_s(state, member)
+        rtt_s = expected_rtt_s(state, member)
         candidate = Candidate(address=member.address, rtt_s=rtt_s)
         usable.append((candidate, member))
     return _without_ejected(state, usable, event.now_s)
 
 
-def _expected_rtt_s(state: node.Node, member: member_lib.Member) -> float:
+def expected_rtt_s(state: node.Node, member: member_lib.Member) -> float:
     """Return the expected round trip to a member, in seconds."""
     settings = state.settings
     if member.data_centre == settings.data_centre:
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -70,6 +70,7 @@
             get before the verdict.
         exposed_slack: Calls that it may get in addition, over all nodes.
         rollback_s: Time from the bad answers of a version to its last call.
+        even_load: Whether calls are placed by `calls.even_placement`.
     """
 
     address: address_lib.Address
@@ -95,6 +96,7 @@
     exposed_share: float = 0.1
     exposed_slack: float = 50.0
     rollback_s: float = 5.0
+    even_load: bool = False
 
     def covers(self, data_centre: str) -> bool:
         """Return whether the member table includes a data centre."""
--- a/src/monsoonpass/core/reducer.py
+++ b/src/monsoonpass/core/reducer.py
@@ -52,6 +52,7 @@
     state.survey_number = event.wall_ms
     state.admission.queue_limit = state.settings.queue_limit
     quota_handlers.start(state, event)
+    state.admission.even_load = state.settings.even_load
     version_distribution.recover(state, event)
     return [
         *membership.start(state, event),
--- a/src/monsoonpass/formats/settings.py
+++ b/src/monsoonpass/formats/settings.py
@@ -33,6 +33,7 @@
     rollouts: sections.RolloutsSection = sections.RolloutsSection()
     headers: sections.HeadersSection = sections.HeadersSection()
     quotas: sections.QuotasSection = sections.QuotasSection()
+    routing: sections.RoutingSection = sections.RoutingSection()
 
     @property
     def drain_limit_s(self) -> float:
@@ -119,6 +120,7 @@
             exposed_share=self.rollouts.exposed_share,
             exposed_slack=self.rollouts.exposed_slack,
             rollback_s=self.rollouts.rollback_s,
+            even_load=self.routing.even_load,
         )
 
 
--- a/src/monsoonpass/formats/settings_sections.py
+++ b/src/monsoonpass/formats/settings_sections.py
@@ -254,6 +254,17 @@
     rollback_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 5.0
 
 
+class RoutingSection(Section):
+    """[routing]: how upstreams are chosen.
+
+    Attributes:
+        even_load: Whether load is spread by estimated occupancy and turns. All
+            nodes of a mesh should use the same value.
+    """
+
+    even_load: bool = False
+
+
 class HeadersSection(Section):
     """[headers]: names of the HTTP headers; see `HeaderNames`.
 
