--- a/src/monsoonpass/start.py
+++ b/src/monsoonpass/start.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 import contextlib
 import gc
+import importlib
 import importlib.util
 import os
 import sys
@@ -53,6 +54,11 @@
         empty = types.ModuleType("ssl")
         empty.SSLContext = type("SSLContext", (), {})
         sys.modules["ssl"] = empty
+        import anyio
+
+        # anyio imports these only when they are first used.
+        assert anyio.create_tcp_listener and anyio.create_udp_socket
+        importlib.import_module("anyio._backends._asyncio")
         yield
     finally:
         for name in ("ssl", "_hashlib"):
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -40,6 +40,12 @@
 import sys
 from monsoonpass import start
 start.import_daemon()
+import anyio
+async def use_sockets():
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    await anyio.connect_tcp("127.0.0.1", port)
+anyio.run(use_sockets)
 print([m for m in ("ssl", "_ssl", "_hashlib") if m in sys.modules])
 import hashlib, hmac
 print(hmac.new(b"k", b"m", hashlib.sha256).hexdigest())
