--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 import functools
+import operator
+from typing import NoReturn
 
 from monsoonpass import codec
 from monsoonpass import errors
@@ -16,6 +18,9 @@
 from monsoonpass.core.distribution import host_route
 from monsoonpass.core.distribution import packing
 
+_get_digest = operator.attrgetter("digest")
+_get_services = operator.attrgetter("services")
+
 # Upstreams that a call on a service-level route may be sent to.
 ATTEMPTS_MAX = 4
 
@@ -199,15 +204,25 @@
                         f"service {service.name} depends on {name}, "
                         f"which version {version} does not contain"
                     )
-        for route in routes:
-            for name in route.services:
-                if name not in self.services:
-                    raise errors.DanglingReferenceError(
-                        f"route {route.name} names {name}, "
-                        f"which version {version} does not contain"
-                    )
+        # Most of a thousand routes name the same few services.
+        for names in set(map(_get_services, routes)):
+            if not all(name in self.services for name in names):
+                self._raise_dangling_route()
         self.digest = _content_digest(self.services.values(), routes, limits)
 
+    def _raise_dangling_route(self) -> NoReturn:
+        """Raise the error for the first route that names an unknown service."""
+        name, missing = next(
+            (route.name, name)
+            for route in self.routes
+            for name in route.services
+            if name not in self.services
+        )
+        raise errors.DanglingReferenceError(
+            f"route {name} names {missing}, "
+            f"which version {self.version} does not contain"
+        )
+
     @functools.cached_property
     def _host_route_table(self) -> host_route.HostRouteTable:
         return host_route.HostRouteTable(routes=self.routes)
@@ -387,7 +402,7 @@
             (
                 *(service.digest for service in ordered),
                 b"routes",
-                *[route.digest for route in routes],
+                *map(_get_digest, routes),
                 codec.canonical_bytes(limits),
             )
         )
--- a/src/monsoonpass/core/distribution/host_route.py
+++ b/src/monsoonpass/core/distribution/host_route.py
@@ -126,16 +126,27 @@
     """A lookup table of host routes with longest-prefix matching."""
 
     def __init__(self, *, routes: tuple[HostRoute, ...]):
-        self._by_host: dict[str, list[HostRoute]] = {}
+        self._by_host: dict[str, dict[str, HostRoute]] = {}
         for route in routes:
-            self._by_host.setdefault(route.host, []).append(route)
-        for host_routes in self._by_host.values():
-            host_routes.sort(key=lambda route: -len(route.path))
+            host_routes = self._by_host.get(route.host)
+            if host_routes is None:
+                host_routes = self._by_host[route.host] = {}
+            # Of routes with the same path, the first one wins.
+            host_routes.setdefault(route.path, route)
+        # A call looks up one prefix for each length, not each route.
+        self._lengths_by_host = {
+            host: sorted(set(map(len, host_routes)), reverse=True)
+            for host, host_routes in self._by_host.items()
+        }
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """Return the host's route with the longest matching prefix, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.path):
+        host_routes = self._by_host.get(host)
+        if host_routes is None:
+            return None
+        for length in self._lengths_by_host[host]:
+            route = host_routes.get(path[:length])
+            if route is not None:
                 return route
         return None
 
--- a/tests/test_host_route.py
+++ b/tests/test_host_route.py
@@ -65,6 +65,25 @@
         assert catalog.match("shop.example", "GET", "/lot/7") is None
         assert catalog.match("pay.example", "GET", "/lots/7") is None
 
+    @hypothesis.given(
+        st.lists(st.text("ab/", max_size=5), max_size=12),
+        st.text("ab/", max_size=7),
+    )
+    def test_found_route_is_the_first_longest_prefix(self, paths, path):
+        """A lookup by prefix lengths could miss a route or take a later one.
+
+        Guard: the order of the lengths, and `setdefault`, in HostRouteTable.
+        """
+        routes = [
+            make_route(item, name=str(position))
+            for position, item in enumerate(paths)
+        ]
+        table = host_route.HostRouteTable(routes=tuple(routes))
+        matching = [route for route in routes if path.startswith(route.path)]
+        expected = max(matching, key=lambda r: len(r.path), default=None)
+        assert table.find("shop.example", path) is expected
+        assert table.find("pay.example", path) is None
+
     def test_route_to_an_unknown_service_is_refused(self):
         with pytest.raises(errors.DanglingReferenceError):
             make_catalog(1, make_route("/", service="nowhere"))
