--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -180,6 +180,7 @@
         services: Mapping[str, Service],
         routes: tuple[host_route.HostRoute, ...] = (),
         limits: host_route.RequestLimits = host_route.DEFAULT_LIMITS,
+        unchecked_routes: tuple[host_route.HostRoute, ...] | None = None,
     ):
         """Build a catalog.
 
@@ -188,6 +189,8 @@
             services: Services by name.
             routes: Host routes, in the operator's order.
             limits: Limits on callers' requests.
+            unchecked_routes: The host routes that may name a service that is
+                not included; None for all.
 
         Raises:
             DanglingReferenceError: A dependency or a host route names a
@@ -204,22 +207,24 @@
                         f"service {service.name} depends on {name}, "
                         f"which version {version} does not contain"
                     )
+        if unchecked_routes is None:
+            unchecked_routes = routes
         # Most of a thousand routes name the same few services.
-        for names in set(map(_get_services, routes)):
+        for names in set(map(_get_services, unchecked_routes)):
             if not all(name in self.services for name in names):
                 self._raise_dangling_route()
         self.digest = _content_digest(self.services.values(), routes, limits)
 
     def _raise_dangling_route(self) -> NoReturn:
         """Raise the error for the first route that names an unknown service."""
-        name, missing = next(
+        route_name, missing = next(
             (route.name, name)
             for route in self.routes
             for name in route.services
             if name not in self.services
         )
         raise errors.DanglingReferenceError(
-            f"route {name} names {missing}, "
+            f"route {route_name} names {missing}, "
             f"which version {self.version} does not contain"
         )
 
@@ -355,6 +360,8 @@
                 self.routes, delta.routes_changed, delta.routes_order
             ),
             limits=delta.limits,
+            # The other routes were checked when this catalog was built.
+            unchecked_routes=None if delta.removed else delta.routes_changed,
         )
         _check_digest(result, delta.digest)
         return result
--- a/tests/test_host_route.py
+++ b/tests/test_host_route.py
@@ -90,6 +90,22 @@
 
 
 class TestDelta:
+    def test_delta_that_leaves_a_route_without_its_service_is_refused(self):
+        """Guard: `unchecked_routes` in Catalog.apply."""
+        base = make_catalog(1, make_route("/", service="pay"))
+        removing = dataclasses.replace(
+            base.delta_to(make_catalog(2, services=("shop",))),
+            routes_order=((0, 1),),
+        )
+        naming = dataclasses.replace(
+            base.delta_to(make_catalog(2)),
+            routes_changed=(make_route("/x", service="nowhere"),),
+            routes_order=((0, 2),),
+        )
+        for delta in (removing, naming):
+            with pytest.raises(errors.DanglingReferenceError):
+                base.apply(delta)
+
     @hypothesis.given(PATHS, PATHS, st.randoms(use_true_random=False))
     def test_delta_yields_the_new_routes_in_order(self, old, new, rng):
         base = make_catalog(1, *(make_route(f"/{path}/") for path in old))
