--- a/src/monsoonpass/core/distribution/catalog.py
+++ b/src/monsoonpass/core/distribution/catalog.py
@@ -10,6 +10,8 @@
 import dataclasses
 import enum
 import functools
+import operator
+from typing import NoReturn
 
 from monsoonpass import codec
 from monsoonpass import errors
@@ -17,6 +19,9 @@
 from monsoonpass.core.distribution import host_route
 from monsoonpass.core.distribution import packing
 
+_get_digest = operator.attrgetter("digest")
+_get_services = operator.attrgetter("services")
+
 # Upstreams that a call on a service-level route may be sent to.
 ATTEMPTS_MAX = 4
 
@@ -217,6 +222,7 @@
         routes: tuple[host_route.HostRoute, ...] = (),
         limits: host_route.RequestLimits = host_route.DEFAULT_LIMITS,
         workspaces: Iterable[Workspace] = (),
+        unchecked_routes: tuple[host_route.HostRoute, ...] | None = None,
     ):
         """Build a catalog.
 
@@ -226,6 +232,8 @@
             routes: Host routes, in the operator's order.
             limits: Limits on callers' requests.
             workspaces: Workspaces, in any order.
+            unchecked_routes: The host routes that may name a service that is
+                not included; None for all.
 
         Raises:
             DanglingReferenceError: A dependency or a host route names a
@@ -246,17 +254,29 @@
                         f"service {service.name} depends on {name}, "
                         f"which version {version} does not contain"
                     )
-        for route in routes:
-            for name in route.services:
-                if name not in self.services:
-                    raise errors.DanglingReferenceError(
-                        f"route {route.name} names {name}, "
-                        f"which version {version} does not contain"
-                    )
+        if unchecked_routes is None:
+            unchecked_routes = routes
+        # Most of a thousand routes name the same few services.
+        for names in set(map(_get_services, unchecked_routes)):
+            if not all(name in self.services for name in names):
+                self._raise_dangling_route()
         self.digest = _content_digest(
             self.services.values(), routes, limits, self.workspaces.values()
         )
 
+    def _raise_dangling_route(self) -> NoReturn:
+        """Raise the error for the first route that names an unknown service."""
+        route_name, missing = next(
+            (route.name, name)
+            for route in self.routes
+            for name in route.services
+            if name not in self.services
+        )
+        raise errors.DanglingReferenceError(
+            f"route {route_name} names {missing}, "
+            f"which version {self.version} does not contain"
+        )
+
     @functools.cached_property
     def _host_route_table(self) -> host_route.HostRouteTable:
         return host_route.HostRouteTable(routes=self.routes)
@@ -419,6 +439,8 @@
             ),
             limits=delta.limits,
             workspaces=self._apply_workspaces(delta),
+            # The other routes were checked when this catalog was built.
+            unchecked_routes=None if delta.removed else delta.routes_changed,
         )
         _check_digest(result, delta.digest)
         return result
@@ -481,7 +503,7 @@
             (
                 *(service.digest for service in ordered),
                 b"routes",
-                *[route.digest for route in routes],
+                *map(_get_digest, routes),
                 codec.canonical_bytes(limits),
                 *workspace_marker,
                 *(workspace.digest for workspace in workspaces),
--- a/tests/test_host_route.py
+++ b/tests/test_host_route.py
@@ -65,12 +65,47 @@
         assert catalog.match("shop.example", "GET", "/lot/7") is None
         assert catalog.match("pay.example", "GET", "/lots/7") is None
 
+    @hypothesis.given(
+        st.lists(st.text("ab/", max_size=5), max_size=12),
+        st.text("ab/", max_size=7),
+    )
+    def test_found_route_is_the_first_longest_prefix(self, paths, path):
+        """A lookup by prefix lengths could miss a route or take a later one.
+
+        Guard: the order of the lengths, and `setdefault`, in HostRouteTable.
+        """
+        routes = [
+            make_route(item, name=str(position))
+            for position, item in enumerate(paths)
+        ]
+        table = host_route.HostRouteTable(routes=tuple(routes))
+        matching = [route for route in routes if path.startswith(route.path)]
+        expected = max(matching, key=lambda r: len(r.path), default=None)
+        assert table.find("shop.example", path) is expected
+        assert table.find("pay.example", path) is None
+
     def test_route_to_an_unknown_service_is_refused(self):
         with pytest.raises(errors.DanglingReferenceError):
             make_catalog(1, make_route("/", service="nowhere"))
 
 
 class TestDelta:
+    def test_delta_that_leaves_a_route_without_its_service_is_refused(self):
+        """Guard: `unchecked_routes` in Catalog.apply."""
+        base = make_catalog(1, make_route("/", service="pay"))
+        removing = dataclasses.replace(
+            base.delta_to(make_catalog(2, services=("shop",))),
+            routes_order=((0, 1),),
+        )
+        naming = dataclasses.replace(
+            base.delta_to(make_catalog(2)),
+            routes_changed=(make_route("/x", service="nowhere"),),
+            routes_order=((0, 2),),
+        )
+        for delta in (removing, naming):
+            with pytest.raises(errors.DanglingReferenceError):
+                base.apply(delta)
+
     @hypothesis.given(PATHS, PATHS, st.randoms(use_true_random=False))
     def test_delta_yields_the_new_routes_in_order(self, old, new, rng):
         base = make_catalog(1, *(make_route(f"/{path}/") for path in old))
