--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -185,7 +185,7 @@
     voters: tuple[address_lib.Address, ...]
     read_id: int = 0
     notices: tuple[notice_lib.LeaveNotice, ...] = ()
-    rollouts: tuple[rollout_lib.Rollout, ...] = ()
+    rollouts: tuple[rollout_lib.Rollout, ...] = codec.appended_field(default=())
 
 
 @codec.register(48)
--- a/src/monsoonpass/runtime/daemon.py
+++ b/src/monsoonpass/runtime/daemon.py
@@ -109,7 +109,10 @@
                 memory_trim.run,
             ):
                 group.start_soon(task)
-            await self._start_http_servers(group)
+            self._start_http_servers(group)
+            # The servers listen after their first step. Nothing that takes
+            # longer may come before the reducer's first event, since messages
+            # of peers arrive from now on.
             await anyio.lowlevel.checkpoint()
             self._feed_started()
             self.started.set()
@@ -308,8 +311,7 @@
             journal=self._journal.records if self._journal else (),
         )
 
-    async def _start_http_servers(self, group: anyio.abc.TaskGroup) -> None:
-        """Start the servers; those of this package listen on return."""
+    def _start_http_servers(self, group: anyio.abc.TaskGroup) -> None:
         listen = self._settings.listen
         state = self.engine.state
         for address in listen.callers:
@@ -318,7 +320,7 @@
                     self._serve_http2, address, self._caller_app.app
                 )
                 continue
-            await group.start(
+            group.start_soon(
                 self._serve,
                 address,
                 self._caller_app.app,
@@ -326,7 +328,7 @@
                 self._caller_gate,
             )
         for address in listen.operators:
-            await group.start(
+            group.start_soon(
                 self._serve,
                 address,
                 self._operator_api.app,
@@ -340,8 +342,6 @@
         app: http_server.App,
         limits: Callable[[], host_route.RequestLimits],
         gate: caller_load.ConnectionGate,
-        *,
-        task_status: anyio.abc.TaskStatus[None],
     ) -> None:
         state = self.engine.state
         server = http_server.Server(
@@ -355,7 +355,7 @@
             gate=gate,
         )
         self._servers.append(server)
-        await server.serve(listen.host, listen.port, task_status=task_status)
+        await server.serve(listen.host, listen.port)
 
     async def _serve_http2(
         self, listen: settings_sections.HostPort, app: http_server.App
--- a/src/monsoonpass/runtime/http_server.py
+++ b/src/monsoonpass/runtime/http_server.py
@@ -72,22 +72,9 @@
         self._open_requests = 0
         self._requests_ended = anyio.Event()
 
-    async def serve(
-        self,
-        host: str,
-        port: int,
-        *,
-        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Serve until cancelled.
-
-        Args:
-            host: Address to listen on.
-            port: Port to listen on.
-            task_status: Notified once connections are accepted.
-        """
+    async def serve(self, host: str, port: int) -> None:
+        """Serve until cancelled; the first step listens."""
         listener = caller_stream.listen(host, port)
-        task_status.started()
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._hangups.run)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -11,10 +11,13 @@
 from monsoonpass.core import log_events
 from monsoonpass.core import timers
 from monsoonpass.core.calls import outcome
+from monsoonpass.core.membership import member as member_lib
 from monsoonpass.formats import framing
+from monsoonpass.formats import handshake
 from monsoonpass.formats import settings as settings_lib
 from monsoonpass.runtime import daemon as daemon_lib
 from monsoonpass.runtime import engine as engine_lib
+from monsoonpass.runtime import http_server
 from monsoonpass.standin import local_mesh
 from tests import test_end_to_end
 
@@ -171,6 +174,71 @@
         assert error_info.group_contains(KeyError)
 
 
+class TestStart:
+    def test_message_of_a_peer_is_not_handled_before_the_start(
+        self, tmp_path, monkeypatch
+    ):
+        """A datagram that arrived while a server started ended the node.
+
+        Guard: the order of the steps in Daemon.run.
+        """
+        mesh = local_mesh.LocalMesh(
+            specs=(local_mesh.NodeSpec(instance="n0"),),
+            voters=["n0"],
+            folder=tmp_path,
+        )
+        node = mesh.nodes[0]
+        serve = http_server.Server.serve
+
+        async def serve_late(*args, **options) -> None:
+            await anyio.sleep(0.2)
+            await serve(*args, **options)
+
+        monkeypatch.setattr(http_server.Server, "serve", serve_late)
+        own = address_lib.Address(
+            instance="n0", host="127.0.0.1", port=node.peer_port
+        )
+        suspected = member_lib.Member(
+            address=own,
+            data_centre=node.spec.data_centre,
+            incarnation=2**52,
+            state=member_lib.MemberState.SUSPECT,
+            has_disk=True,
+            service="",
+            slots=0,
+            upstream=member_lib.UpstreamState.NONE,
+        )
+        datagram = handshake.seal_datagram(
+            b"only-for-loopback",
+            address_lib.Address(instance="n1", host="127.0.0.1", port=1),
+            member_lib.Rumour(updates=(suspected,)),
+        )
+
+        daemon = daemon_lib.Daemon(
+            settings=settings_lib.parse(node.settings_text)
+        )
+
+        async def run() -> None:
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(send_datagrams)
+                    group.start_soon(daemon.run)
+                    await anyio.sleep(0.5)
+                    group.cancel_scope.cancel()
+
+        async def send_datagrams() -> None:
+            async with await anyio.create_udp_socket(
+                local_host="127.0.0.1"
+            ) as sender:
+                while True:
+                    await sender.sendto(datagram, "127.0.0.1", node.peer_port)
+                    await anyio.sleep(0.01)
+
+        anyio.run(run)
+        own_record = daemon.engine.state.membership.own_record
+        assert own_record.incarnation > 2**52
+
+
 class TestConfinedErrors:
     @pytest.mark.parametrize("payload", [b"\x91\xc0", b"\x91\x01", b"\xc1"])
     def test_malformed_message_ends_only_its_link(self, tmp_path, payload):
--- a/tests/test_local_mesh.py
+++ b/tests/test_local_mesh.py
@@ -5,7 +5,6 @@
 import anyio
 import pytest
 
-from monsoonpass.runtime import http_server
 from monsoonpass.standin import local_mesh
 
 
@@ -50,16 +49,16 @@
     def test_started_node_accepts_operators(self, tmp_path, monkeypatch):
         """The first announcement after a start found its port closed.
 
-        Guard: `group.start` in Daemon._start_http_servers.
+        Guard: `listen` in http_server.Server.serve, which does not wait.
         """
-        serve = http_server.Server.serve
+        create_listener = anyio.create_tcp_listener
 
-        async def serve_late(*args, **options):
-            # As late as on a busy machine.
+        async def create_listener_late(**options):
+            # As slow as resolving the address was on a busy machine.
             await anyio.sleep(0.1)
-            await serve(*args, **options)
+            return await create_listener(**options)
 
-        monkeypatch.setattr(http_server.Server, "serve", serve_late)
+        monkeypatch.setattr(anyio, "create_tcp_listener", create_listener_late)
         mesh = local_mesh.LocalMesh(
             specs=(local_mesh.NodeSpec(instance="n0"),),
             voters=("n0",),
