--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -25,6 +25,10 @@
 from monsoonpass.core.membership import member as member_lib
 
 RESERVE_MARGIN = 1.5  # Slots reserved for short calls, per slot they need.
+# The same with even load. More urgent short calls go first in the queue anyway,
+# and a slot with short work is soon free again. Slots reserved for the peaks of
+# short calls were idle while long calls were refused.
+EVEN_RESERVE_SHARE = 0.5
 RETRY_AFTER_MIN_S = 0.1  # An earlier retry would find the same queue.
 RETRY_AFTER_MAX_S = 2.0  # By then a load peak has passed.
 # Cost of another hop, as a share of the service time; a longer wait outweighs
@@ -368,6 +372,9 @@
         """
         rate = self._short_arrivals.rate(priority)
         expected = rate * self._times.median_s * RESERVE_MARGIN
+        if self.even_load:
+            expected = rate * self._times.median_s * EVEN_RESERVE_SHARE
+            return min(max(1, int(expected)), max(self.slots - 1, 0))
         return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
 
     def _fill_slots(
