--- a/src/monsoonpass/core/calls/attempts.py
+++ b/src/monsoonpass/core/calls/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from monsoonpass.core import effects
 from monsoonpass.core import events
@@ -113,7 +114,12 @@
         )
     objective_s = call.objective_deadline_s - event.now_s
     choice = placement.choose(
-        state, event, call.service, call.tried, objective_s
+        state,
+        event,
+        call.service,
+        call.tried,
+        objective_s,
+        state.routing.median(call.statistics_key).value_s or math.inf,
     )
     if (
         choice is None
--- a/src/monsoonpass/core/calls/even_placement.py
+++ b/src/monsoonpass/core/calls/even_placement.py
@@ -45,6 +45,11 @@
 # all others of its tier in the mean. Queues of short work exceed 2 per slot.
 OCCUPANCY_MAX = 8.0
 EXPECTED_OCCUPANCY = 0.6  # Mean occupancy without any report.
+# A call that usually takes at most this share of the mean service time has an
+# early deadline, and overtakes the queue. Its length then says little about the
+# wait, so a refused call is sent to another owner, which knows its queue.
+SHORT_SHARE = 0.6
+SHORT_ATTEMPTS_MAX = 3  # Instances that such a call tries.
 MEAN_FRESH_S = 1.0  # An older mean says nothing about the occupancy now.
 EXPECTED_WEIGHT = 0.2  # Weight of that value beside the reports of a tier.
 SERVICE_TIME_MIN_S = 0.001
@@ -116,6 +121,7 @@
         slots: Slots of the instance.
         capacity: Calls a second that the instance completes.
         score: What the instances were compared by.
+        usual_s: Usual response time of the call's route.
     """
 
     entry: Entry
@@ -123,6 +129,7 @@
     slots: int
     capacity: float
     score: float
+    usual_s: float
 
     @property
     def has_free_slot(self) -> bool:
@@ -131,10 +138,16 @@
 
     @property
     def predicted_s(self) -> float:
-        """Expected time until the answer."""
+        """Expected time until the answer.
+
+        The wait depends on the mean service time of the instance. A call of a
+        shorter route takes less than that once it has a slot.
+        """
         wait_share = max(self.occupancy - 1.0 + 1.0 / self.slots, 0.0)
         service_s = self.slots / self.capacity
-        return self.entry.candidate.rtt_s + service_s * (1.0 + wait_share)
+        wait_s = service_s * wait_share
+        rtt_s = self.entry.candidate.rtt_s
+        return rtt_s + wait_s + min(service_s, self.usual_s)
 
 
 def choose(
@@ -143,12 +156,26 @@
     service: str,
     tried: set[str],
     objective_s: float = math.inf,
+    usual_s: float = math.inf,
 ) -> routing.Candidate | None:
-    """Choose the instance for a call; see `routing.choose`."""
+    """Choose the instance for a call; see `routing.choose`.
+
+    Args:
+        state: The node.
+        event: The event being handled, for its time and random bits.
+        service: The service called.
+        tried: Instances that refused or failed this call.
+        objective_s: Time left of the response time objective, in seconds.
+        usual_s: Usual response time of the call's route; infinite if it is not
+            known.
+
+    Returns:
+        The candidate, or None if no instance is worth an attempt.
+    """
     pool = _pool(state, event, service)
     near: Estimate | None = None
     for tier in pool.tiers[:2]:
-        best = _best(state, pool, tier, tried, event.now_s)
+        best = _best(state, pool, tier, tried, event.now_s, usual_s)
         if best is None:
             continue
         if best.has_free_slot:
@@ -159,16 +186,29 @@
     if near is not None and near.predicted_s <= limit_s < math.inf:
         return _take(near_tier, near, reroutable=False)
     far_tier = pool.tiers[2]
-    far = _best(state, pool, far_tier, tried, event.now_s)
+    far = _best(state, pool, far_tier, tried, event.now_s, usual_s)
     if far is not None and far.has_free_slot:
         return _take(far_tier, far, reroutable=True)
-    if near is not None and (not tried or near.predicted_s <= objective_s):
+    if near is not None and (
+        not tried
+        or near.predicted_s <= objective_s
+        or _overtakes(near, tried, objective_s)
+    ):
         return _take(near_tier, near, reroutable=False)
     if far is not None and not tried:
         return _take(far_tier, far, reroutable=False)
     return None
 
 
+def _overtakes(near: Estimate, tried: set[str], objective_s: float) -> bool:
+    """Return whether a refused call is expected to overtake the queue."""
+    service_s = near.slots / near.capacity
+    return (
+        near.usual_s <= min(SHORT_SHARE * service_s, objective_s)
+        and len(tried) < SHORT_ATTEMPTS_MAX
+    )
+
+
 def _take(tier: Tier, best: Estimate, *, reroutable: bool) -> routing.Candidate:
     """Count a turn of an instance and return it."""
     turn_s = max(
@@ -271,7 +311,12 @@
 
 
 def _best(
-    state: node.Node, pool: Pool, tier: Tier, tried: set[str], now_s: float
+    state: node.Node,
+    pool: Pool,
+    tier: Tier,
+    tried: set[str],
+    now_s: float,
+    usual_s: float,
 ) -> Estimate | None:
     """Return the instance of a tier that is expected to be least occupied.
 
@@ -328,6 +373,7 @@
                 slots=slots,
                 capacity=capacity,
                 score=score,
+                usual_s=usual_s,
             )
     tier.occupancy = (occupied + EXPECTED_WEIGHT * EXPECTED_OCCUPANCY) / (
         weights + EXPECTED_WEIGHT
--- a/src/monsoonpass/core/calls/placement.py
+++ b/src/monsoonpass/core/calls/placement.py
@@ -14,7 +14,11 @@
     service: str,
     tried: set[str],
     objective_s: float = math.inf,
+    usual_s: float = math.inf,
 ) -> routing.Candidate | None:
-    """Choose the instance for a call; see `routing.choose`."""
-    chosen = even_placement if state.settings.even_load else routing
-    return chosen.choose(state, event, service, tried, objective_s)
+    """Choose the instance for a call; see `even_placement.choose`."""
+    if state.settings.even_load:
+        return even_placement.choose(
+            state, event, service, tried, objective_s, usual_s
+        )
+    return routing.choose(state, event, service, tried, objective_s)
