--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -96,6 +96,13 @@
         settings = settings_lib.parse(render({**FIELDS, "limits": None}))
         assert settings.limits.link_mbit_s == 0.0
 
+    def test_template_enables_even_load_and_the_default_does_not(self):
+        """Guard: [routing] in deploy/node.ini, and `reducer_settings`."""
+        text = render(FIELDS)
+        assert settings_lib.parse(text).reducer_settings().even_load
+        text = text.replace("even_load = yes\n", "")
+        assert not settings_lib.parse(text).reducer_settings().even_load
+
     def test_template_renders_settings_of_a_voter(self):
         fields = {
             **FIELDS,
