--- a/src/monsoonpass/core/calls/placement.py
+++ b/src/monsoonpass/core/calls/placement.py
@@ -18,18 +18,41 @@
     service: str,
     tried: set[str],
     objective_s: float = math.inf,
+    usual_s: float = math.inf,
 ) -> routing.Candidate | None:
-    """Choose the instance for a call; see `routing.choose`."""
-    chosen = even_placement if state.settings.even_load else routing
+    """Choose the instance for a call; see `even_placement.choose`."""
     versions = version_choice.choose(state, event, service, tried)
     if versions.target is not None:
-        choice = chosen.choose(
-            state, event, service, tried, objective_s, versions.target
+        choice = _choose_instance(
+            state,
+            event,
+            service,
+            tried,
+            objective_s,
+            versions.target,
+            usual_s,
         )
         # Without a free slot at the target, the call is no measure of it.
         if choice is not None and choice.reroutable:
             version_choice.record_sent_to_target(state, service)
             return choice
-    return chosen.choose(
-        state, event, service, tried, objective_s, versions.regular
+    return _choose_instance(
+        state, event, service, tried, objective_s, versions.regular, usual_s
     )
+
+
+def _choose_instance(
+    state: node.Node,
+    event: events.Event,
+    service: str,
+    tried: set[str],
+    objective_s: float,
+    versions: version_choice.VersionFilter,
+    usual_s: float,
+) -> routing.Candidate | None:
+    """Choose an instance among those of some versions."""
+    if state.settings.even_load:
+        return even_placement.choose(
+            state, event, service, tried, objective_s, versions, usual_s
+        )
+    return routing.choose(state, event, service, tried, objective_s, versions)
--- a/tests/test_http_ends_fuzz.py
+++ b/tests/test_http_ends_fuzz.py
@@ -331,7 +331,7 @@
         assert not self.upstream.foreign, self.upstream.foreign[0]
         for node in self.mesh.nodes:
             failures = node.daemon._metrics.confined_failures
-            assert not list(failures.collect()[0].samples), "unexpected error"
+            assert not failures.samples(), "unexpected error"
 
 
 def run_traffic(drawn: list[tuple], folder: pathlib.Path) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -119,6 +119,13 @@
         assert (core.exposed_share, core.exposed_slack) == (0.2, 70.0)
         assert core.rollback_s == 4.0
 
+    def test_template_enables_even_load_and_the_default_does_not(self):
+        """Guard: [routing] in deploy/node.ini, and `reducer_settings`."""
+        text = render(FIELDS)
+        assert settings_lib.parse(text).reducer_settings().even_load
+        text = text.replace("even_load = yes\n", "")
+        assert not settings_lib.parse(text).reducer_settings().even_load
+
     def test_template_renders_settings_of_a_voter(self):
         fields = {
             **FIELDS,
