--- a/src/monsoonpass/runtime/caller_connection.py
+++ b/src/monsoonpass/runtime/caller_connection.py
@@ -30,6 +30,11 @@
 UNPARSED_MAX_BYTES = 16 * 1024
 # Requests of one connection that are served at once.
 PIPELINE_MAX = 8
+# Pause before a connection's next request after a refusal, if so many bytes of
+# requests wait behind it. Its caller does not slow down by itself, and a few
+# hundred of them would leave no room for callers that wait for their answers.
+REFUSAL_PAUSE_S = 1.0
+FLOOD_BYTES = UNPARSED_MAX_BYTES // 2
 # Time for the caller to read the answer before the connection is closed.
 LINGER_TIMEOUT_S = 1.0
 # A caller that accepts no data for this time counts as disconnected.
@@ -107,6 +112,7 @@
         self._space_made = anyio.Event()
         self._is_discarding = False
         self._closes_next = False
+        self._paused_until_s = 0.0
         self._awaits_body = False
         # Requests in progress, in their order.
         self._requests: collections.deque[caller_request.CallerRequest] = (
@@ -244,6 +250,12 @@
             other is request or other.is_parked for other in self._requests
         )
 
+    @property
+    def _is_paused(self) -> bool:
+        return bool(self._paused_until_s) and (
+            anyio.current_time() < self._paused_until_s
+        )
+
     @property
     def _is_closing(self) -> bool:
         return self._closes_next or self._service.is_closing()
@@ -296,6 +308,8 @@
             request = self._requests[0]
             await request.ended.wait()
         else:
+            if self._is_paused:
+                await anyio.sleep_until(self._paused_until_s)
             request = await self._next_request()
             if request is None:
                 return False
@@ -312,6 +326,8 @@
         self._requests.popleft()
         self._count_open(-1)
         self._holder.progress_s = anyio.current_time()
+        if request.is_refusal and len(self._received) >= FLOOD_BYTES:
+            self._paused_until_s = anyio.current_time() + REFUSAL_PAUSE_S
         if self._requests:
             self._requests[0].become_first()
             self.start_pipelined()
@@ -361,6 +377,7 @@
             and self._requests[-1].allows_another
             and self._held_request is None
             and self._held_error is None
+            and not self._is_paused
             and not self._is_closing
         ):
             try:
--- a/src/monsoonpass/runtime/caller_request.py
+++ b/src/monsoonpass/runtime/caller_request.py
@@ -27,6 +27,8 @@
 # Callers within the limits may pause for 15 s.
 BODY_IDLE_TIMEOUT_S = 20.0
 
+REFUSALS = (429, 503)
+
 # How an application's send fails if the caller is gone or slow, and how an
 # application ends an answer that has failed.
 CONNECTION_ERRORS = (
@@ -88,6 +90,7 @@
         is_streaming: Whether the application passes the body on as it
             arrives.
         is_broken_off: Whether a body failed while it was passed on.
+        is_refusal: Whether the answer says that the node has no room.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.refused_status = 0
         self.is_streaming = False
         self.is_broken_off = False
+        self.is_refusal = False
         self._connection = connection
         self._head = head
         self._over = anyio.Event()
@@ -407,6 +411,7 @@
             return
         if message["type"] == "http.response.start":
             self._answer_start = message
+            self.is_refusal = message["status"] in REFUSALS
             return
         if not self.is_first:
             await self._may_go_on.wait()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -537,6 +537,35 @@
         data = self.receive_answers(status_app, "/503", "/504/20", "/200")
         assert self.bodies(data) == [b"/503;", b"/504/20;", b"/200;"]
 
+    def test_flood_of_refused_requests_is_paused(self, monkeypatch):
+        """Callers that send thousands of requests ahead left others no room.
+
+        Guard: `_is_paused` in Connection.
+        """
+        monkeypatch.setattr(caller_connection, "REFUSAL_PAUSE_S", 3600.0)
+        flooded = []
+        served = []
+
+        async def refusing_app(scope, receive, send):
+            if scope["path"] == "/flood":
+                flooded.append(scope["path"])
+                await answer(send, b"refused;", 503)
+            else:
+                await answer(send, b"served;", 200)
+
+        async def scenario(fixture):
+            async with await fixture.open() as flood:
+                await flood.send(pipelined(*["/flood"] * 2000))
+                await receive_until(flood, b"refused;")
+                for _ in range(20):
+                    async with await fixture.open() as stream:
+                        await stream.send(pipelined("/calm"))
+                        served.append(await receive_until(stream, b"served;"))
+
+        run_with_server(refusing_app, scenario)
+        assert len(served) == 20
+        assert len(flooded) <= 2 * caller_connection.PIPELINE_MAX
+
     def test_requests_run_at_once(self):
         """Guards against requests that wait for each other's answers.
 
