--- a/src/monsoonpass/core/calls/admission.py
+++ b/src/monsoonpass/core/calls/admission.py
@@ -66,10 +66,7 @@
         self.end_s = math.inf
         self.even_load = False
         self._queue: list[
-            tuple[
-                tuple[tuple[int, int], bool, float, int],
-                owner_call_lib.OwnerCall,
-            ]
+            tuple[owner_call_lib.QueueKey, owner_call_lib.OwnerCall]
         ] = []
         self._times = service_times.ServiceTimes()
         self._pace = queue_pace.QueuePace()
@@ -368,7 +365,7 @@
         """Return whether a call belongs to the long class."""
         return self._times.is_long(call.route, default=call.bulk)
 
-    def _reserved_for_short(self, rank: tuple[int, int]) -> int:
+    def _reserved_for_short(self, rank: owner_call_lib.Rank) -> int:
         """Return the slots that a long call leaves free (Little's law).
 
         Only short calls that are at least as urgent count, so that a more
@@ -377,12 +374,12 @@
         Args:
             rank: Rank of the long call.
         """
-        rate = self._short_arrivals.rate(rank)
-        expected = rate * self._times.median_s * RESERVE_MARGIN
+        expected = self._short_arrivals.rate(rank) * self._times.median_s
         if self.even_load:
-            expected = rate * self._times.median_s * EVEN_RESERVE_SHARE
-            return min(max(1, int(expected)), max(self.slots - 1, 0))
-        return min(max(1, math.ceil(expected)), max(self.slots - 1, 0))
+            needed = int(expected * EVEN_RESERVE_SHARE)
+        else:
+            needed = math.ceil(expected * RESERVE_MARGIN)
+        return min(max(1, needed), max(self.slots - 1, 0))
 
     def _fill_slots(
         self, decision: owner_call_lib.AdmissionDecision, now_s: float
--- a/src/monsoonpass/core/calls/arrival_rates.py
+++ b/src/monsoonpass/core/calls/arrival_rates.py
@@ -1,6 +1,6 @@
 """Rates at which calls of each rank arrive."""
 
-Rank = tuple[int, int]  # `OwnerCall.rank`.
+from monsoonpass.core.calls import owner_call
 
 WINDOW_S = 0.5  # Window in which arrivals are counted.
 
@@ -9,8 +9,8 @@
     """Smoothed arrivals a second, by rank."""
 
     def __init__(self) -> None:
-        self._rates: dict[Rank, float] = {}
-        self._counts: dict[Rank, int] = {}
+        self._rates: dict[owner_call.Rank, float] = {}
+        self._counts: dict[owner_call.Rank, int] = {}
         self._window_start_s = 0.0
 
     def advance(self, now_s: float) -> None:
@@ -24,10 +24,10 @@
             self._counts[rank] = 0
         self._window_start_s = now_s
 
-    def count(self, rank: Rank) -> None:
+    def count(self, rank: owner_call.Rank) -> None:
         """Count the arrival of a call."""
         self._counts[rank] = self._counts.get(rank, 0) + 1
 
-    def rate(self, rank: Rank) -> float:
+    def rate(self, rank: owner_call.Rank) -> float:
         """Return the arrivals a second of this rank and all above it."""
         return sum(rate for other, rate in self._rates.items() if other <= rank)
--- a/src/monsoonpass/core/calls/overload_age.py
+++ b/src/monsoonpass/core/calls/overload_age.py
@@ -9,7 +9,8 @@
 
 import math
 
-Rank = tuple[int, int]  # `OwnerCall.rank`.
+from monsoonpass.core.calls import owner_call
+
 # Without a refusal for this time, an overload is over. It is longer than the
 # pauses between refusals at a small share of calls in excess.
 QUIET_S = 0.5
@@ -19,14 +20,14 @@
     """Measures for how long calls of one rank or above were refused."""
 
     def __init__(self) -> None:
-        self._since_s: dict[Rank, float] = {}
-        self._last_s: dict[Rank, float] = {}
+        self._since_s: dict[owner_call.Rank, float] = {}
+        self._last_s: dict[owner_call.Rank, float] = {}
 
-    def record_refusal(self, rank: Rank, now_s: float) -> float:
+    def record_refusal(self, rank: owner_call.Rank, now_s: float) -> float:
         """Record the refusal of a call, and return the age of the overload.
 
         Args:
-            rank: Rank of the call.
+            rank: owner_call.Rank of the call.
             now_s: Time of the event.
 
         Returns:
--- a/src/monsoonpass/core/calls/owner_call.py
+++ b/src/monsoonpass/core/calls/owner_call.py
@@ -10,6 +10,11 @@
 # still worth its slot.
 LATE_ANSWER_SHARE = 0.25
 
+# Priority, then the priority of the route; see `OwnerCall.rank`.
+Rank = tuple[int, int]
+# Rank, whether the call is late, deadline, number; see `OwnerCall.queue_key`.
+QueueKey = tuple[Rank, bool, float, int]
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class OwnerCall:
@@ -79,7 +84,7 @@
         return self.objective_deadline_s <= self.arrived_s
 
     @property
-    def rank(self) -> tuple[int, int]:
+    def rank(self) -> Rank:
         """Urgency of the call, lowest first.
 
         By priority, and among calls of equal workspace priority by that of the
@@ -90,7 +95,7 @@
         return (self.priority, self.route_priority)
 
     @property
-    def queue_key(self) -> tuple[tuple[int, int], bool, float, int]:
+    def queue_key(self) -> QueueKey:
         """Sort key of the queue.
 
         By rank, then calls that can meet their objective before those that
--- a/src/monsoonpass/core/quotas/allocator.py
+++ b/src/monsoonpass/core/quotas/allocator.py
@@ -171,11 +171,6 @@
         self.fraction = 0.0
         self._update_fraction(start_s)
 
-    @property
-    def node_count(self) -> int:
-        """Number of nodes known."""
-        return len(self._nodes)
-
     def handle(
         self,
         request: messages.TokenRequest,
--- a/src/monsoonpass/runtime/caller_request.py
+++ b/src/monsoonpass/runtime/caller_request.py
@@ -355,7 +355,7 @@
         else:
             self._kept_bytes += len(body)
         if not self._parser_has_data and not self._pieces:
-            # What is counted beyond the body was framing of chunks.
+            # The chunk headers were counted as received, but nobody keeps them.
             self._release(
                 self._counted_bytes - self._kept_bytes - self._passing_bytes
             )
