--- a/review/stand_ins_2/system.py
+++ b/review/stand_ins_2/system.py
@@ -21,20 +21,29 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 INTERNAL, CONTROL, READY, OUTBOUND, APP = 7380, 8144, 8141, 8147, 8145
+GUARD = 7379
 START_S = 12.0
 
 
-def free_block() -> str:
-    """Return the first two numbers of a free block of loopback addresses."""
-    for second in range(10 + os.getpid() % 100, 250):
-        block = f"127.{second}"
+def reserve_block() -> tuple[str, socket.socket]:
+    """Reserve a block of loopback addresses.
+
+    Returns:
+        Its first two numbers, and a socket that reserves it until it is closed.
+    """
+    first = 10 + os.getpid() % 100
+    for second in (*range(first, 250), *range(10, first)):
+        guard = socket.socket()
         try:
-            for port in (INTERNAL, CONTROL, READY, OUTBOUND, APP, 9464):
-                with socket.socket() as probe:
-                    probe.bind((f"{block}.0.1", port))
+            guard.bind((f"127.{second}.250.1", GUARD))
+            for third in (0, 1):
+                for port in (INTERNAL, CONTROL, READY, OUTBOUND, APP):
+                    with socket.socket() as probe:
+                        probe.bind((f"127.{second}.{third}.1", port))
         except OSError:
+            guard.close()
             continue
-        return block
+        return f"127.{second}", guard
     raise RuntimeError("no free loopback addresses")
 
 
@@ -178,7 +187,7 @@
             cores: Number of machines of the core.
         """
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
-        self.block = free_block()
+        self.block, self._guard = reserve_block()
         self.cores: list[Machine] = []
         self.sides: list[Machine] = []
         zones = ("mvd-a", "pay-a", "mvd-b", "pay-b")
@@ -219,6 +228,7 @@
         for machine in self.machines:
             machine.signal(signal.SIGCONT)
             machine.kill()
+        self._guard.close()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
