End what a script has started also when it is ended from outside

Cause: a script that runs out of time would leave its processes. Change: SIGTERM interrupts the case, which then ends its processes.

--- a/review/stand_ins_2/record.py
+++ b/review/stand_ins_2/record.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import time
 import traceback
@@ -33,6 +34,15 @@
             file.write(f"{passed_s:8.3f}  {text}\n")
 
 
+def _interrupt(number: int, frame: object) -> None:
+    """Let a case that is ended from outside end what it has started.
+
+    Raises:
+        KeyboardInterrupt: Always.
+    """
+    raise KeyboardInterrupt
+
+
 def main(
     folder: pathlib.Path, case: Callable[[Record], Awaitable[bool]]
 ) -> None:
@@ -42,10 +52,11 @@
         folder: Folder of the case.
         case: Returns whether the rule was broken.
     """
+    signal.signal(signal.SIGTERM, _interrupt)
     record = Record(folder)
     try:
         broken = asyncio.run(case(record))
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         record.write("the case could not run:\n" + traceback.format_exc())
         sys.exit(2)
     record.write("the rule was broken" if broken else "the rule held")
