Replace a voter in one change, by joint consensus

Cause: a silent voter was removed in one change, and a learner promoted in the next one, half a second later. In between, a group that must bear one loss had two voters, and one that must bear two had four.

Event 203 also tells the number of learners, and whether a voter is being replaced.

--- a/src/monsoonpass/core/agreement/consensus_records.py
+++ b/src/monsoonpass/core/agreement/consensus_records.py
@@ -1,11 +1,15 @@
 """Disk records and messages of the replicated log."""
 
+from collections.abc import Mapping
 import enum
+from typing import TypeVar
 
 from monsoonpass import codec
 from monsoonpass import immutable
 from monsoonpass.core import address
 
+Ordered = TypeVar("Ordered", int, float)
+
 
 class EntryKind(enum.IntEnum):
     """Type of a log entry."""
@@ -33,19 +37,80 @@
 @codec.register(20)
 @immutable.dataclass
 class Members:
-    """The members of a group."""
+    """The members of a group.
+
+    While one voter replaces another, both have a vote (joint consensus). A
+    quorum then needs a majority of the voters before the replacement and a
+    majority of the voters after it, so that the group bears at each moment as
+    many losses as before and after.
+
+    Attributes:
+        members: The members.
+        incoming: Replica id of the voter that replaces another one; 0 if no
+            replacement is in progress.
+        outgoing: Replica id of the voter that is being replaced, or 0.
+    """
 
     members: tuple[Member, ...]
+    incoming: int = codec.appended_field(default=0)
+    outgoing: int = codec.appended_field(default=0)
 
     @property
     def voters(self) -> tuple[int, ...]:
-        """Replica ids of all voters."""
+        """Replica ids of all voters, both of a replacement included."""
         return tuple(m.replica_id for m in self.members if m.voter)
 
     @property
-    def quorum(self) -> int:
-        """Number of voters that form a majority."""
-        return len(self.voters) // 2 + 1
+    def voter_sets(self) -> tuple[tuple[int, ...], ...]:
+        """Sets of voters each of which must give a majority to a quorum.
+
+        During a replacement these are the voters before it and the voters after
+        it; otherwise there is one set.
+        """
+        if not self.outgoing:
+            return (self.voters,)
+        return (
+            tuple(v for v in self.voters if v != self.incoming),
+            tuple(v for v in self.voters if v != self.outgoing),
+        )
+
+    @property
+    def quorum_min(self) -> int:
+        """Smallest number of voters that can be a quorum."""
+        return min(len(voters) // 2 + 1 for voters in self.voter_sets)
+
+    def has_quorum(self, replica_ids: set[int]) -> bool:
+        """Return whether a majority of each set of voters is among some ids."""
+        return all(
+            len(replica_ids.intersection(voters)) > len(voters) // 2
+            for voters in self.voter_sets
+        )
+
+    def quorum_value(self, values: Mapping[int, Ordered]) -> Ordered:
+        """Return the highest value that a quorum has reached.
+
+        Args:
+            values: Value of each voter, by replica id.
+        """
+        return min(
+            sorted(values[v] for v in voters)[(len(voters) - 1) // 2]
+            for voters in self.voter_sets
+        )
+
+    def may_become(self, changed: "Members") -> bool:
+        """Return whether some members may follow these in one change.
+
+        They may if each quorum of the one has a voter in common with each
+        quorum of the other: if one voter is added or removed, or a replacement
+        begins or ends.
+        """
+        if self.outgoing:
+            return not changed.outgoing and any(
+                set(voters) == set(changed.voters) for voters in self.voter_sets
+            )
+        if changed.outgoing:
+            return set(changed.voter_sets[0]) == set(self.voters)
+        return len(set(changed.voters) ^ set(self.voters)) <= 1
 
     def find(self, replica_id: int) -> Member | None:
         """Return the member with a replica id, or None."""
--- a/src/monsoonpass/core/agreement/election.py
+++ b/src/monsoonpass/core/agreement/election.py
@@ -196,8 +196,7 @@
     now_s: float,
     random_bits: int,
 ) -> list[effects.Effect]:
-    counted = replica.votes & set(replica.members.voters)
-    if len(counted) < replica.members.quorum:
+    if not replica.members.has_quorum(replica.votes):
         return []
     if pre_vote:
         return _campaign(
--- a/src/monsoonpass/core/agreement/raft.py
+++ b/src/monsoonpass/core/agreement/raft.py
@@ -114,11 +114,15 @@
                 )
             )
         elif entry.kind is records.EntryKind.MEMBERS:
-            voters = len(replica.members_at(entry.index).voters)
+            members = replica.members_at(entry.index)
             result.append(
                 effects.Log(
                     code=log_events.Code.VOTERS_CHANGED,
-                    fields={"voters": voters},
+                    fields={
+                        "voters": len(members.voter_sets[-1]),
+                        "learners": len(members.members) - len(members.voters),
+                        "replacing": bool(members.outgoing),
+                    },
                 )
             )
     return result
--- a/src/monsoonpass/core/agreement/reconfiguration.py
+++ b/src/monsoonpass/core/agreement/reconfiguration.py
@@ -1,8 +1,9 @@
 """Reconfiguration of the group's members by the leader.
 
 A voter that has been silent for too long is replaced by a learner that has
-caught up. Members change one at a time, each only once the previous change is
-committed.
+caught up. The replacement is one change, by joint consensus: a group that first
+removed the silent voter would meanwhile bear fewer losses. Each change waits
+until the previous one is committed.
 """
 
 import dataclasses
@@ -64,9 +65,9 @@
 def next_membership(state: node.Node, now_s: float) -> records.Members | None:
     """Return the members after the next change, or None for no change.
 
-    In this order: remove a learner that is lost or not needed; promote a
-    learner that has caught up, after removing a lost voter if the group has
-    its full number of voters; add a learner if voters are missing.
+    In this order: end a replacement in progress; remove a learner that is
+    lost or not needed; let a learner that has caught up replace a lost voter,
+    or promote it if none is lost; add a learner if voters are missing.
 
     Args:
         state: The node, which is the leader.
@@ -76,32 +77,37 @@
         The members to propose, or None.
     """
     replica = state.control.replica
-    statuses = {
-        status.replica_id: status
-        for status in member_status.member_statuses(replica, now_s)
-    }
-    limit_s = state.settings.voter_replace_s
+    statuses = member_status.member_statuses(replica, now_s)
     reidentified = _members_with_new_identity(state)
+    lost_ids = {
+        status.replica_id
+        for status in statuses
+        if status.silent_s > state.settings.voter_replace_s
+        or status.replica_id in reidentified
+    }
+    if replica.members.outgoing:
+        return _after_replacement(replica.members, lost_ids)
     lost_voters = [
         status
-        for status in statuses.values()
-        if status.voter
-        and (status.silent_s > limit_s or status.replica_id in reidentified)
+        for status in statuses
+        if status.voter and status.replica_id in lost_ids
     ]
     target = state.settings.voters or len(state.settings.bootstrap_voters)
     target = max(target, 1)
     missing_count = target - len(replica.members.voters) + len(lost_voters)
-    learners = [status for status in statuses.values() if not status.voter]
+    learners = [status for status in statuses if not status.voter]
     for learner in learners:
-        is_lost = (
-            learner.silent_s > limit_s or learner.replica_id in reidentified
-        )
-        if is_lost or missing_count <= 0:
+        if learner.replica_id in lost_ids or missing_count <= 0:
             return _without(replica.members, learner.replica_id)
         if _has_caught_up(replica, learner):
-            if lost_voters and len(replica.members.voters) >= target:
-                return _without(replica.members, lost_voters[0].replica_id)
-            return _promoted(replica.members, learner.replica_id)
+            promoted = _promoted(replica.members, learner.replica_id)
+            if not lost_voters:
+                return promoted
+            return dataclasses.replace(
+                promoted,
+                incoming=learner.replica_id,
+                outgoing=lost_voters[0].replica_id,
+            )
     if missing_count > 0 and not learners:
         return _with_new_learner(state, now_s)
     return None
@@ -134,6 +140,22 @@
     )
 
 
+def _after_replacement(
+    members: records.Members, lost_ids: set[int]
+) -> records.Members:
+    """Return the members after a replacement, without the voter that leaves it.
+
+    The replacement is taken back if its new voter is lost and the old one has
+    returned.
+    """
+    is_taken_back = (
+        members.incoming in lost_ids and members.outgoing not in lost_ids
+    )
+    return _without(
+        members, members.incoming if is_taken_back else members.outgoing
+    )
+
+
 def _without(members: records.Members, replica_id: int) -> records.Members:
     return records.Members(
         members=tuple(m for m in members.members if m.replica_id != replica_id)
--- a/src/monsoonpass/core/agreement/replica.py
+++ b/src/monsoonpass/core/agreement/replica.py
@@ -1,7 +1,8 @@
 """The state of one replica of a replicated log.
 
 The protocol is Raft with pre-vote, check-quorum, linearizable reads by read
-index, learners, and membership changes of one replica at a time. The modules
+index, learners, and membership changes that add or remove one voter, or replace
+one by joint consensus. The modules
 `election`, `replication`, `follower` and `raft` implement it; their functions
 take a replica and return effects. A reply that acknowledges durable state is
 deferred until the disk has confirmed the write.
@@ -420,13 +421,11 @@
     answered, not with the time of its reply, which may be delayed. Returns
     minus infinity if no quorum has answered yet.
     """
-    times = sorted(
-        now_s
-        if replica_id == replica.replica_id
-        else replica.progress[replica_id].last_acked_send_s
-        for replica_id in replica.members.voters
-        if replica_id == replica.replica_id or replica_id in replica.progress
+    sent_s = {
+        replica_id: progress.last_acked_send_s
+        for replica_id, progress in replica.progress.items()
+    }
+    sent_s[replica.replica_id] = now_s
+    return replica.members.quorum_value(
+        {v: sent_s.get(v, float("-inf")) for v in replica.members.voters}
     )
-    if len(times) < replica.members.quorum:
-        return float("-inf")
-    return times[len(times) - replica.members.quorum]
--- a/src/monsoonpass/core/agreement/replication.py
+++ b/src/monsoonpass/core/agreement/replication.py
@@ -109,7 +109,7 @@
 def propose_members(
     replica: replica_lib.Replica, members: records.Members, *, now_s: float
 ) -> list[effects.Effect]:
-    """Propose a change of members that affects at most one voter.
+    """Propose a change of members; see `Members.may_become`.
 
     Args:
         replica: The leader.
@@ -121,7 +121,8 @@
 
     Raises:
         MembershipChangeError: An earlier change or the first entry of the
-            term is not committed, or the change affects more than one voter.
+            term is not committed, or the quorums before and after the change
+            might not intersect.
     """
     last_change_index = (
         replica.membership_changes[-1][0] if replica.membership_changes else 0
@@ -130,9 +131,9 @@
         raise replica_lib.MembershipChangeError(
             "an earlier change of members is not committed yet"
         )
-    if len(set(members.voters) ^ set(replica.members.voters)) > 1:
+    if not replica.members.may_become(members):
         raise replica_lib.MembershipChangeError(
-            "a change of members may affect only one voter"
+            "quorums before and after the change might not intersect"
         )
     return propose(
         replica,
@@ -354,13 +355,12 @@
     """
     if not replica.is_leader:
         return []
-    matches = sorted(
-        replica.synced_index
-        if replica_id == replica.replica_id
-        else replica.progress[replica_id].match_index
-        for replica_id in replica.members.voters
-    )
-    index = matches[len(matches) - replica.members.quorum]
+    synced_indexes = {
+        replica_id: progress.match_index
+        for replica_id, progress in replica.progress.items()
+    }
+    synced_indexes[replica.replica_id] = replica.synced_index
+    index = replica.members.quorum_value(synced_indexes)
     index = _limit_to_copied(replica, index)
     if index <= replica.commit_index:
         return []
@@ -382,7 +382,7 @@
     copies that it needs to survive the expected disk losses. Learners' disks
     count as copies, too.
     """
-    if replica.members.quorum >= replica.copies_min:
+    if replica.members.quorum_min >= replica.copies_min:
         return index
     copied_indexes = [replica.synced_index]
     copied_indexes += [
--- a/src/monsoonpass/core/agreement/voter_lookup.py
+++ b/src/monsoonpass/core/agreement/voter_lookup.py
@@ -65,7 +65,10 @@
     """
     replica = state.control.replica
     if replica is not None and replica.members.voters:
-        return tuple(m.address for m in replica.members.members if m.voter)
+        # A replacement on the same node has the same address twice.
+        return tuple(
+            dict.fromkeys(m.address for m in replica.members.members if m.voter)
+        )
     if state.control.voters:
         return state.control.voters
     names = state.settings.bootstrap_voters
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -192,3 +192,54 @@
         assert mesh.result(leader.name, request_id).status is (
             config_messages.SubmitStatus.UNCONFIRMED
         )
+
+
+class TestReplacement:
+    """Quorums while one voter replaces another."""
+
+    def make_members(self, *voters: int, **replacement: int) -> records.Members:
+        return records.Members(
+            members=tuple(
+                records.Member(
+                    replica_id=number,
+                    address=fake_mesh.make_address(f"n{number}"),
+                    voter=True,
+                )
+                for number in voters
+            ),
+            **replacement,
+        )
+
+    def test_quorum_needs_a_majority_before_and_after(self):
+        """Failure: two voters alone were left of three."""
+        members = self.make_members(1, 2, 3, 4, outgoing=3, incoming=4)
+        assert members.voter_sets == ((1, 2, 3), (1, 2, 4))
+        assert members.has_quorum({1, 2})
+        assert members.has_quorum({1, 3, 4})
+        assert not members.has_quorum({1, 3})
+        assert not members.has_quorum({1, 4})
+        assert not members.has_quorum({3, 4})
+
+    def test_value_of_a_quorum_is_reached_in_both_sets(self):
+        members = self.make_members(1, 2, 3, 4, outgoing=3, incoming=4)
+        assert members.quorum_value({1: 9, 2: 7, 3: 8, 4: 0}) == 7
+        assert members.quorum_value({1: 9, 2: 0, 3: 8, 4: 5}) == 5
+        assert (
+            self.make_members(1, 2, 3, 4).quorum_value({1: 9, 2: 8, 3: 7, 4: 6})
+            == 7
+        )
+
+    def test_changes_whose_quorums_might_not_intersect_are_refused(self):
+        """Guard: `Members.may_become`."""
+        three = self.make_members(1, 2, 3)
+        replacing = self.make_members(1, 2, 3, 4, outgoing=3, incoming=4)
+        assert three.may_become(replacing)
+        assert three.may_become(self.make_members(1, 2, 3, 4))
+        assert not three.may_become(self.make_members(1, 2, 4))
+        assert not self.make_members(1, 2).may_become(replacing)
+        assert replacing.may_become(three)
+        assert replacing.may_become(self.make_members(1, 2, 4))
+        assert not replacing.may_become(self.make_members(1, 2))
+        assert not replacing.may_become(
+            self.make_members(1, 2, 3, 5, outgoing=3, incoming=5)
+        )
