Form the control group with its full size

With two disks to be borne, two lost in the seconds after the first start ended the control group for good: nothing was read back or accepted again (CONFIG, Acks).

Cause: three seeds formed the group, and nodes were added one by one until it had five voters. Three or four voters bear one lost disk. For a moment after the formation it bore none, as the others knew the group's id only.

Why it works: the founder waits until it knows as many disks without a group as the group needs, tells all of them who the members are, and does so once the group is on its own disk. After 10 s it forms a smaller group, so that a mesh with fewer disks than its settings ask for works as before.

--- a/src/monsoonpass/core/agreement/control_group.py
+++ b/src/monsoonpass/core/agreement/control_group.py
@@ -339,13 +339,7 @@
     is_bootstrap_voter = own_instance in state.settings.bootstrap_voters
     if replica is None and is_bootstrap_voter:
         result += formation.form_group(state, event)
-        for seed in state.settings.seeds:
-            name = seed.address.instance
-            if name in state.settings.bootstrap_voters and name != own_instance:
-                probe = messages.BootstrapProbe(
-                    replica_id=control.identity.replica_id
-                )
-                result.append(effects.Send(to=seed.address, message=probe))
+        result += formation.probe_bootstrap_voters(state)
     if formation.should_request_join(state, event):
         result += formation.request_join(state, event)
     return result
--- a/src/monsoonpass/core/distribution/config_messages.py
+++ b/src/monsoonpass/core/distribution/config_messages.py
@@ -5,6 +5,7 @@
 from monsoonpass import codec
 from monsoonpass import immutable
 from monsoonpass.core import address as address_lib
+from monsoonpass.core.agreement import consensus_records
 from monsoonpass.core.distribution import catalog
 from monsoonpass.core.membership import leave_notice as notice_lib
 from monsoonpass.core.rollouts import rollout as rollout_lib
@@ -233,3 +234,12 @@
 
     replica_id: int
     data_centre: str
+
+
+@codec.register(64)
+@immutable.dataclass
+class FormGroup:
+    """Tells the members of a new control group to each of them."""
+
+    group: int
+    members: consensus_records.Members
--- a/src/monsoonpass/core/node.py
+++ b/src/monsoonpass/core/node.py
@@ -297,8 +297,9 @@
         leader_hint_followed_s: When a hint to the leader was last followed.
         waiting_nodes: Nodes whose cold read is pending because there was no
             leader, by instance.
-        ungrouped_voter_ids: Replica ids of bootstrap voters without a group,
-            by instance.
+        ungrouped_voter_ids: Replica ids of nodes without a group, by instance.
+        formation_since_s: Time from which on all bootstrap voters were known
+            to have no group.
         join_requests: Disks that ask to join the group, by replica id.
         pending_submissions: Submissions of operators at this node, by
             request id.
@@ -324,6 +325,7 @@
     ungrouped_voter_ids: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    formation_since_s: float = float("inf")
     join_requests: dict[int, Any] = dataclasses.field(default_factory=dict)
     pending_submissions: dict[int, Any] = dataclasses.field(
         default_factory=dict
