Limit the doubling of delays before they overflow

An upstream that sent bytes without end, which were no answer, ended the nodes that called it, and with them the calls of all other callers there (processes that end by themselves, LOST). Other operators had reported such ends as a lack of memory.

Cause: the n-th ejection of an instance in a row lasts 2 s times 2**n, limited to 30 s after the multiplication. From n = 1024 on the factor is no float, and OverflowError in the reducer ends the process. An ejected instance still gets calls where too few others are left.

The recheck of an unreachable upstream and the fetch of a version have the same flaw. Each of the three has a test, which failed with that error.

Why it works: backoff.doubled_s limits the exponent, and all delays that double use it.

--- a/src/monsoonpass/core/calls/routing_table.py
+++ b/src/monsoonpass/core/calls/routing_table.py
@@ -4,6 +4,7 @@
 import math
 from typing import Any
 
+from monsoonpass.core import backoff
 from monsoonpass.core import bounded_mapping
 from monsoonpass.core.calls import caller_timeouts
 from monsoonpass.core.calls import outcome
@@ -201,8 +202,8 @@
         if peer.consecutive_failures >= EJECT_AFTER_FAILURES:
             peer.consecutive_failures = 0
             peer.consecutive_ejections += 1
-            ejected_for_s = min(
-                EJECT_UNIT_S * 2**peer.consecutive_ejections, EJECT_MAX_S
+            ejected_for_s = backoff.doubled_s(
+                EJECT_UNIT_S, peer.consecutive_ejections, EJECT_MAX_S
             )
             peer.ejected_until_s = now_s + ejected_for_s
 
--- a/src/monsoonpass/core/distribution/catch_up.py
+++ b/src/monsoonpass/core/distribution/catch_up.py
@@ -5,6 +5,7 @@
 """
 
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import backoff
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import node
@@ -97,8 +98,9 @@
     config.fetch_target_version = max(version, config.fetch_target_version)
     newest = config.newest
     request = messages.Fetch(version=newest.version, digest=newest.digest)
-    timeout_s = FETCH_TIMEOUT_S * 2 ** (config.fetch_attempts - 1)
-    timeout_s = min(timeout_s, FETCH_TIMEOUT_MAX_S)
+    timeout_s = backoff.doubled_s(
+        FETCH_TIMEOUT_S, config.fetch_attempts - 1, FETCH_TIMEOUT_MAX_S
+    )
     return [
         effects.Send(to=to, message=request),
         effects.SetTimer(timer=timers.FetchTimeout(), delay_s=timeout_s),
--- a/src/monsoonpass/core/distribution/cold_start.py
+++ b/src/monsoonpass/core/distribution/cold_start.py
@@ -7,6 +7,7 @@
 """
 
 from monsoonpass.core import address as address_lib
+from monsoonpass.core import backoff
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import log_events
@@ -97,8 +98,8 @@
     """Query a voter for the last accepted version, with jittered backoff."""
     config = state.config
     config.cold_read_attempts += 1
-    delay_max_s = min(
-        RETRY_BASE_S * 2 ** min(config.cold_read_attempts, 4), RETRY_MAX_S
+    delay_max_s = backoff.doubled_s(
+        RETRY_BASE_S, config.cold_read_attempts, RETRY_MAX_S
     )
     rng = seeded_random.SeededRandom(bits=event.random_bits)
     retry = effects.SetTimer(
--- a/src/monsoonpass/core/membership/synchronisation.py
+++ b/src/monsoonpass/core/membership/synchronisation.py
@@ -6,6 +6,7 @@
 two sides of a former partition find each other again.
 """
 
+from monsoonpass.core import backoff
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import node
@@ -88,8 +89,8 @@
     if not seeds:
         return []
     membership.join_attempts += 1
-    backoff_s = min(
-        JOIN_RETRY_S * 2 ** min(membership.join_attempts, 8), JOIN_RETRY_MAX_S
+    backoff_s = backoff.doubled_s(
+        JOIN_RETRY_S, membership.join_attempts, JOIN_RETRY_MAX_S
     )
     rng = seeded_random.SeededRandom(bits=event.random_bits)
     retry = effects.SetTimer(
--- a/src/monsoonpass/core/membership/upstream_transition.py
+++ b/src/monsoonpass/core/membership/upstream_transition.py
@@ -4,6 +4,7 @@
 one step, so that they are always consistent with each other.
 """
 
+from monsoonpass.core import backoff
 from monsoonpass.core import effects
 from monsoonpass.core import events
 from monsoonpass.core import log_events
@@ -113,7 +114,9 @@
     if upstream.phase is not Phase.UNREACHABLE:
         return result
     upstream.withdrawals += 1
-    delay_s = min(RECHECK_BASE_S * 2**upstream.withdrawals, RECHECK_MAX_S)
+    delay_s = backoff.doubled_s(
+        RECHECK_BASE_S, upstream.withdrawals, RECHECK_MAX_S
+    )
     timer = timers.UpstreamRecheck()
     return [effects.SetTimer(timer=timer, delay_s=delay_s), *result]
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -299,6 +299,18 @@
         assert len(fetch_targets) == 3
         assert set(fetch_targets[1:]) <= {"v0", "v1", "v2"}
 
+    def test_fetch_after_many_unanswered_ones_is_sent(self):
+        """Failure: the node ended when the timeout of the fetch overflowed.
+
+        Guard: `backoff.doubled_s` in send_fetch.
+        """
+        mesh, node = self.make_fetching_node()
+        node.state.config.fetch_attempts = 1100
+        source = fake_mesh.make_address("v0")
+        sent, timer = catch_up.send_fetch(node.state, source, 2)
+        assert sent.to == source
+        assert timer.delay_s == catch_up.FETCH_TIMEOUT_MAX_S
+
     def test_fetch_attempts_are_bounded(self):
         """Guard: `FETCH_ATTEMPTS_MAX` in catch_up."""
         mesh, node = self.make_fetching_node()
--- a/tests/test_own_upstream.py
+++ b/tests/test_own_upstream.py
@@ -524,6 +524,18 @@
         scene.mesh.run(3)
         assert scene.state.admission.accepts_calls
 
+    def test_upstream_that_fails_for_long_is_still_rechecked(self):
+        """Failure: the node ended when the delay of the recheck overflowed.
+
+        Guard: `backoff.doubled_s` in _withdraw.
+        """
+        scene = Scene()
+        scene.announce(sequence=1)
+        scene.state.upstream.withdrawals = 1100
+        scene.withdraw()
+        scene.mesh.run(upstream_transition.RECHECK_MAX_S + 1.0)
+        assert scene.state.admission.accepts_calls
+
     def test_replaced_upstream_is_not_offered_by_an_older_recheck(self):
         """Guard: the row of `LOST` in upstream_phase."""
         scene = Scene()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,6 +10,7 @@
 from monsoonpass.core.calls import outcome
 from monsoonpass.core.calls import retry_after
 from monsoonpass.core.calls import routing
+from monsoonpass.core.calls import routing_table
 from monsoonpass.core.membership import member as member_lib
 from tests import fake_mesh
 from tests import test_host_route
@@ -138,6 +139,20 @@
         assert peer.ejected_until_s <= scene.mesh.now_s
         assert peer.consecutive_failures == 0
 
+    def test_instance_that_fails_for_long_stays_ejected_for_a_bounded_time(
+        self,
+    ):
+        """Failure: the node ended when the length of the ejection overflowed.
+
+        Guard: `backoff.doubled_s` in record_timeout.
+        """
+        scene = Scene(x=("a1", 0), y=("a1", 0), z=("a1", 0))
+        table, now_s = scene.state.routing, scene.mesh.now_s
+        for _ in range(1100 * routing_table.EJECT_AFTER_FAILURES):
+            table.record_failure("x", now_s)
+        ejected_s = table.peer("x").ejected_until_s - now_s
+        assert ejected_s == routing_table.EJECT_MAX_S
+
     def test_update_of_a_member_that_still_accepts_calls_keeps_its_ejection(
         self,
     ):
