Count the heads of the outcomes that are kept for peers

An upstream whose answers have heads just short enough to be accepted, with thousands of lines, took the memory of the node beside it up by 10 MB a second. The process would be ended for it, and all calls there with it (LOST).

Cause: a node keeps the outcomes of forwarded calls for peers that lose the link, 8 MiB of them at most, and counted the bodies only.

Evidence: two real nodes told 100 MB each, 24 callers, an upstream with eight slots: the owner used 135 and 143 MB within 5 s, 104 and 99 MB within 3 s. It uses 60 MB with the change (two runs). test_outcome_cache failed before. The 16 other kinds of endless answers in test_faulty_upstreams stay under 70 MB.

Why it works: headers count with the size of their objects, so the bound of 8 MiB holds for what is really kept.

--- a/src/monsoonpass/runtime/outcome_cache.py
+++ b/src/monsoonpass/runtime/outcome_cache.py
@@ -6,6 +6,10 @@
 
 ENTRIES_MAX = 4096
 SIZE_MAX_BYTES = 8 * 1024 * 1024
+# Size of an entry's objects beside the contents, of a 64-bit CPython.
+ANSWER_OVERHEAD_BYTES = 256
+FAILURE_OVERHEAD_BYTES = 128
+HEADER_OVERHEAD_BYTES = 136  # A tuple and two byte strings.
 
 FinalMessage = messages.AnswerHead | messages.AnswerFailed
 
@@ -59,7 +63,11 @@
 
 
 def _entry_size_bytes(message: FinalMessage) -> int:
-    """Return the approximate size: the body and a constant for the rest."""
-    if isinstance(message, messages.AnswerHead):
-        return len(message.body) + 256
-    return 128
+    """Return the approximate size of an entry in memory."""
+    if not isinstance(message, messages.AnswerHead):
+        return FAILURE_OVERHEAD_BYTES
+    headers_bytes = sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        for name, value in message.headers
+    )
+    return len(message.body) + headers_bytes + ANSWER_OVERHEAD_BYTES
