--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -23,6 +23,7 @@
 from monsoonpass.core.agreement import replica as replica_lib
 from monsoonpass.core.distribution import catalog as catalog_lib
 from monsoonpass.core.distribution import config_messages
+from monsoonpass.runtime import journal_writer
 
 DELAY_S = (0.0005, 0.004)
 SYNC_DELAY_S = (0.0002, 0.003)
@@ -56,6 +57,7 @@
         start_count: Number of starts; timers and writes of earlier starts are
             ignored.
         sync_slowdown: Factor by which disk syncs are slower than usual.
+        disk_full: Whether the disk refuses every write.
         held_events: Events that arrived while the process was suspended.
         performed_effects: All effects that the reducer returned.
     """
@@ -69,6 +71,8 @@
         self.alive = False
         self.suspended = False
         self.sync_slowdown = 1.0
+        self.disk_full = False
+        self._write_failed = False
         self.state: node_lib.Node | None = None
         self.held_events: list[tuple[Callable[..., Any], dict[str, Any]]] = []
         self.timers: dict[timers.Timer, int] = {}
@@ -84,6 +88,7 @@
         self.held_events = []
         self.timers = {}
         self.unsynced_writes = []
+        self._write_failed = False
         self.state = node_lib.Node(settings=self.settings)
         self.feed(
             events.Started,
@@ -95,7 +100,7 @@
         """Kill the process; a random prefix of the unsynced writes survives."""
         self.alive = False
         for write in self.unsynced_writes:
-            if self.mesh.random.random() < 0.5:
+            if self.disk_full or self.mesh.random.random() < 0.5:
                 break
             self._make_durable(write)
         self.unsynced_writes = []
@@ -159,8 +164,23 @@
             self.feed(events.TimerFired, timer=timer)
 
     def _sync(self, start_count: int, sequence: int) -> None:
+        """Make writes durable, as `JournalWriter` does."""
         if start_count != self.start_count or not self.alive:
             return
+        if self.disk_full and self.unsynced_writes:
+            if not self._write_failed:
+                self._write_failed = True
+                self.feed(events.DiskFailed, detail="no space left")
+            self.mesh.call_later(
+                journal_writer.RETRY_INTERVAL_S,
+                self._sync,
+                start_count,
+                sequence,
+            )
+            return
+        if self._write_failed:
+            self._write_failed = False
+            self.feed(events.DiskRecovered)
         while (
             self.unsynced_writes
             and self.unsynced_writes[0].sequence <= sequence
@@ -318,6 +338,7 @@
         self.faults = Faults()
         for node in self.nodes.values():
             node.sync_slowdown = 1.0
+            node.disk_full = False
             if node.suspended:
                 node.resume()
             if not node.alive:
--- a/tests/test_replacement_fuzz.py
+++ b/tests/test_replacement_fuzz.py
@@ -5,7 +5,7 @@
 Once all are back, what was acknowledged must be read back and a further
 version must be accepted.
 
-Guards: `Members.majorities` and the replacement in one change in
+Guards: `Members.voter_sets` and the replacement in one change in
 `reconfiguration`.
 """
 
@@ -68,14 +68,32 @@
         self.mesh.run(1.0)
         assert self.newest_acknowledged() == 1
 
-    def submit(self, name: str) -> None:
+    def submit(self, name: str, base_version: int = -1) -> None:
         """Submit the next version at a node if the node runs."""
         node = self.mesh.nodes[name]
         if node.alive and not node.suspended:
             version = next(self._versions)
             self.mesh.submit(
-                name, fake_mesh.make_catalog(version, "a", f"s{version}")
+                name,
+                fake_mesh.make_catalog(version, "a", f"s{version}"),
+                base_version,
+            )
+
+    def read(self) -> int:
+        """Read the configuration at all nodes; return the newest version.
+
+        Returns:
+            The version, or -1 if no node has answered within half a second.
+        """
+        reads = []
+        for name in self.names:
+            request_id = next(self._requests)
+            reads.append((name, request_id))
+            self.mesh.nodes[name].feed(
+                events.ConfigReadRequested, request_id=request_id
             )
+        self.mesh.run(0.5)
+        return max(self._read_version(*read) for read in reads)
 
     def newest_acknowledged(self) -> int:
         """Return the newest version that an operator knows is accepted."""
@@ -109,20 +127,14 @@
     def check_recovered(self) -> None:
         """Check that the core serves again once all nodes are back."""
         acknowledged = self.newest_acknowledged()
-        reads = []
+        newest = -1
 
         def is_served() -> bool:
-            self.submit(self.rng.choice(self.names))
-            for name in self.names:
-                request_id = next(self._requests)
-                reads.append((name, request_id))
-                self.mesh.nodes[name].feed(
-                    events.ConfigReadRequested, request_id=request_id
-                )
-            self.mesh.run(0.5)
-            versions = [self._read_version(*read) for read in reads]
+            nonlocal newest
+            self.submit(self.rng.choice(self.names), newest)
+            newest = max(newest, self.read())
             return (
-                max(versions) >= acknowledged
+                newest >= acknowledged
                 and self.newest_acknowledged() > acknowledged
             )
 
