Count the heads of the answers that are kept under keys

The ledger of idempotency keys kept 4 MiB of bodies and any size of heads: with 20,000 keys and heads of 64 KiB from a faulty upstream, more than a gigabyte on each voter.

Evidence: the new test of the ledger failed before. Not tried with real processes.

It is 8 MiB now, so that short answers with usual heads find as much room as before.

--- a/src/monsoonpass/core/keys/ledger.py
+++ b/src/monsoonpass/core/keys/ledger.py
@@ -16,7 +16,7 @@
 RECORD_TTL_MS = 24 * 3600 * 1000
 KEYS_MAX = 20_000
 STORED_BODY_MAX_BYTES = 8 * 1024
-STORED_TOTAL_MAX_BYTES = 4 * 1024 * 1024
+STORED_TOTAL_MAX_BYTES = 8 * 1024 * 1024  # Headers and bodies of all answers.
 KEY_MAX_CHARS = 255
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -124,6 +124,11 @@
     stored: bool
     expires_ms: int
 
+    @property
+    def answer_bytes(self) -> int:
+        """Length of the stored answer."""
+        return _answer_bytes(self.headers, self.body)
+
 
 @immutable.dataclass
 class ClaimResult:
@@ -195,7 +200,7 @@
     def restore(self, records: tuple[KeyRecord, ...]) -> None:
         """Replace all records."""
         self._records = {(r.service, r.key): r for r in records}
-        self._stored_bytes = sum(len(r.body) for r in records)
+        self._stored_bytes = sum(r.answer_bytes for r in records)
 
     def claim(self, command: ClaimKey) -> ClaimResult:
         """Claim a key, or return the outcome of the call that holds it."""
@@ -233,17 +238,18 @@
             del self._records[record_key]
             return
         free_bytes = STORED_TOTAL_MAX_BYTES - self._stored_bytes
-        stored = command.stored and len(command.body) <= free_bytes
-        body = command.body if stored else b""
-        self._stored_bytes += len(body)
-        self._records[record_key] = dataclasses.replace(
+        answer_bytes = _answer_bytes(command.headers, command.body)
+        stored = command.stored and answer_bytes <= free_bytes
+        record = dataclasses.replace(
             existing,
             state=KeyState.FINISHED if command.status else KeyState.UNKNOWN,
             status=command.status,
             headers=command.headers if stored else (),
-            body=body,
+            body=command.body if stored else b"",
             stored=stored,
         )
+        self._stored_bytes += record.answer_bytes
+        self._records[record_key] = record
 
     def _advance_clock(self, now_ms: int) -> None:
         """Advance the clock, never backwards, and drop expired keys."""
@@ -252,7 +258,7 @@
             record_key, oldest = next(iter(self._records.items()))
             if oldest.expires_ms > self._now_ms:
                 return
-            self._stored_bytes -= len(oldest.body)
+            self._stored_bytes -= oldest.answer_bytes
             del self._records[record_key]
 
     def _is_lease_expired(self, record: KeyRecord) -> bool:
@@ -273,3 +279,7 @@
         stored=False,
         expires_ms=now_ms + RECORD_TTL_MS,
     )
+
+
+def _answer_bytes(headers: Headers, body: bytes) -> int:
+    return len(body) + sum(len(name) + len(value) for name, value in headers)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -28,7 +28,14 @@
 
 
 def settle(
-    key_ledger, *, call_id=1, key="k", released=False, status=200, now_ms=0
+    key_ledger,
+    *,
+    call_id=1,
+    key="k",
+    released=False,
+    status=200,
+    now_ms=0,
+    headers=(),
 ):
     """Settle a key as the given call."""
     key_ledger.settle(
@@ -38,7 +45,7 @@
             claimant=ledger.Claimant(instance="n0", call_id=call_id),
             released=released,
             status=status,
-            headers=(),
+            headers=headers,
             body=b"",
             stored=True,
             now_ms=now_ms,
@@ -47,6 +54,25 @@
 
 
 class TestLedger:
+    def test_heads_count_towards_the_size_of_all_answers(self):
+        """Failure: long heads of a faulty upstream filled the voters' memory.
+
+        Guard: the headers in _answer_bytes.
+        """
+        key_ledger = ledger.Ledger()
+        headers = ((b"a", bytes(60_000)),)
+        fitting = ledger.STORED_TOTAL_MAX_BYTES // 60_001
+        for number in range(fitting + 1):
+            claim(key_ledger, key=f"k{number}")
+            settle(key_ledger, key=f"k{number}", headers=headers)
+        stored = [record.stored for record in key_ledger.records()]
+        assert stored == [True] * fitting + [False]
+        copy = ledger.Ledger()
+        copy.restore(key_ledger.records())
+        claim(copy, key="further")
+        settle(copy, key="further", headers=headers)
+        assert not copy.records()[-1].stored
+
     def test_key_is_granted_once(self):
         key_ledger = ledger.Ledger()
         assert claim(key_ledger, call_id=1) is Verdict.GRANTED
