Name every attribute and subject in the test of endless answers

The class of the two nodes did not say what `fleet` is, and a comment left its subject open. No check changes; the file's 17 tests and lint pass.

--- a/tests/test_faulty_upstreams.py
+++ b/tests/test_faulty_upstreams.py
@@ -50,7 +50,7 @@
 # A head just below the longest one that a node accepts.
 SHORT_LINES = b"".join(b"a%x: b\r\n" % number for number in range(7_000))
 
-# What the upstream sends first, and then without end.
+# Kinds of answers: their first bytes, and those repeated without end.
 ENDLESS = {
     "status line": (b"HTTP/1.1 200 ", b"O" * PIECE_BYTES),
     "header": (OK + b"a: ", b"b" * PIECE_BYTES),
@@ -157,6 +157,7 @@
     """An entry node, and a node whose upstream is faulty.
 
     Attributes:
+        fleet: Both daemons.
         entry: The node with a sound upstream.
         owner: The node with the faulty upstream.
     """
